Add the whole path of a call and of a configuration, kept thin

Cause: everything else (distribution, membership, limits, retries, recovery) needs a path on which it can be run and measured as separate processes.

Change: schema files with a generator for messages, settings, objects and error codes; framed pycapnp messages with streams and credit windows between daemons; HTTP by hypercorn from callers and by httpcore to the upstream; a daemon that follows the head object in the platform's store; stand-ins for the platform and an upstream; a local fleet for tests.

Ruled out: httpx towards the upstream, since its client alone takes more than the 0.56 ms that a call may gain.

--- /dev/null
+++ b/rattangauge/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution and call routing for a service mesh."""
--- /dev/null
+++ b/rattangauge/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about calls: pure functions without I/O."""
--- /dev/null
+++ b/rattangauge/config/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about configuration: pure functions without I/O."""
--- /dev/null
+++ b/rattangauge/config/check.py
@@ -0,0 +1,102 @@
+"""Checks a whole set of objects, with every reference between them."""
+
+from collections.abc import Iterator
+
+from rattangauge import errors
+from rattangauge.config import objects as objects_module
+from rattangauge.generated import errorcodes
+from rattangauge.generated import objects as generated
+
+# Limits the value of the platform's object API with room for its frame.
+MAX_OBJECT_BYTES = 1_000_000
+
+
+def _references(
+    kind: str, item: generated.MeshObject
+) -> Iterator[tuple[str, str, str]]:
+    """Yields field, kind and name of each reference of an object."""
+    for field, spec in generated.SPECS[kind].items():
+        value = getattr(item, field)
+        if spec.kind.startswith("ref:") and value:
+            yield field, spec.kind.removeprefix("ref:"), value
+        elif spec.kind.startswith("list[ref:"):
+            target = spec.kind[len("list[ref:") : -1]
+            for name in value:
+                yield field, target, name
+
+
+def _place(places: dict[tuple[str, str], str], kind: str, name: str) -> str:
+    file = places.get((kind, name), "")
+    return f"{file}: {kind} {name}" if file else f"{kind} {name}"
+
+
+def _check_references(
+    objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
+) -> Iterator[errors.Finding]:
+    for kind, named in objects.items():
+        for name, item in named.items():
+            for field, target, referred in _references(kind, item):
+                if referred in objects[target]:
+                    continue
+                yield errors.Finding(
+                    _place(places, kind, name),
+                    field,
+                    f"the {target} {referred!r} does not exist",
+                    errorcodes.OBJECT_REFERENCE,
+                )
+
+
+def _check_routes(
+    objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
+) -> Iterator[errors.Finding]:
+    seen: dict[tuple[str, str], str] = {}
+    for name, route in sorted(objects["route"].items()):
+        place = _place(places, "route", name)
+        if not route.prefix.startswith("/"):
+            message = f"{route.prefix!r} does not start with '/'"
+            code = errorcodes.OBJECT_RANGE
+            yield errors.Finding(place, "prefix", message, code)
+        for method in route.methods or ("",):
+            other = seen.setdefault((route.prefix, method), name)
+            if other != name:
+                message = f"route {other!r} matches the same requests"
+                code = errorcodes.OBJECT_AMBIGUOUS
+                yield errors.Finding(place, "prefix", message, code)
+                break
+
+
+def _check_sizes(
+    objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
+) -> Iterator[errors.Finding]:
+    for kind, named in objects.items():
+        for name, item in named.items():
+            size = len(repr(item))
+            if size > MAX_OBJECT_BYTES:
+                message = f"the object has {size} bytes of at most"
+                yield errors.Finding(
+                    _place(places, kind, name),
+                    "",
+                    f"{message} {MAX_OBJECT_BYTES}",
+                    errorcodes.OBJECT_TOO_LARGE,
+                )
+
+
+def check(
+    objects: objects_module.ObjectSet,
+    places: dict[tuple[str, str], str] | None = None,
+) -> list[errors.Finding]:
+    """Checks a whole set of objects.
+
+    Args:
+        objects: The set.
+        places: File of each object by kind and name, for the findings.
+
+    Returns:
+        All findings; the set may be published if there are none.
+    """
+    known = places or {}
+    return [
+        *_check_references(objects, known),
+        *_check_routes(objects, known),
+        *_check_sizes(objects, known),
+    ]
--- /dev/null
+++ b/rattangauge/config/edition.py
@@ -0,0 +1,95 @@
+"""Immutable, content-addressed snapshots of the whole set of objects."""
+
+import hashlib
+import json
+from typing import Any
+from typing import NamedTuple
+import zlib
+
+from rattangauge import errors
+from rattangauge.config import check
+from rattangauge.config import objects as objects_module
+from rattangauge.generated import errorcodes
+
+# Stays below the 1 MB that a value of the platform may have.
+PART_BYTES = 900_000
+# Limits what a compressed edition may expand to.
+MAX_EDITION_BYTES = 64_000_000
+
+
+class Edition(NamedTuple):
+    """A complete configuration.
+
+    Attributes:
+        version: Number of the edition; a later one is higher.
+        digest: SHA-256 of the encoded objects, in hexadecimal.
+        objects: All objects.
+        data: The encoded objects.
+    """
+
+    version: int
+    digest: str
+    objects: objects_module.ObjectSet
+    data: bytes
+
+
+def digest_of(data: bytes) -> str:
+    """Returns the SHA-256 of data in hexadecimal."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def encode(objects: objects_module.ObjectSet) -> bytes:
+    """Encodes objects as compressed canonical JSON."""
+    tables = objects_module.to_tables(objects)
+    text = json.dumps(tables, sort_keys=True, separators=(",", ":"))
+    return zlib.compress(text.encode(), 6)
+
+
+def split(data: bytes) -> list[bytes]:
+    """Splits encoded objects into parts that the platform takes."""
+    return [
+        data[start : start + PART_BYTES]
+        for start in range(0, len(data), PART_BYTES)
+    ]
+
+
+def _malformed(message: str, place: str) -> errors.FindingsError:
+    code = errorcodes.EDITION_MALFORMED
+    return errors.FindingsError([errors.Finding(place, "", message, code)])
+
+
+def _tables(data: bytes, place: str) -> dict[str, Any]:
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(data, MAX_EDITION_BYTES)
+        tables = json.loads(text)
+    except (zlib.error, ValueError) as error:
+        raise _malformed(str(error), place) from error
+    if not decompressor.eof or not isinstance(tables, dict):
+        raise _malformed("the data are not a whole edition", place)
+    return tables
+
+
+def decode(version: int, digest: str, data: bytes) -> Edition:
+    """Decodes an edition and checks all of it.
+
+    Args:
+        version: Version that the data are said to have.
+        digest: Digest that the data must have.
+        data: The encoded objects.
+
+    Raises:
+        errors.FindingsError: The digest, the shape or a reference is wrong.
+    """
+    place = f"version {version}"
+    actual = digest_of(data)
+    if actual != digest:
+        message = f"the data have the digest {actual}, not {digest}"
+        code = errorcodes.EDITION_DIGEST
+        raise errors.FindingsError([errors.Finding(place, "", message, code)])
+    loaded = objects_module.read_tables(_tables(data, place), place)
+    objects, collected = objects_module.collect(loaded.objects)
+    findings = loaded.findings + collected.findings + check.check(objects)
+    if findings:
+        raise errors.FindingsError(findings)
+    return Edition(version, digest, objects, data)
--- /dev/null
+++ b/rattangauge/errors.py
@@ -0,0 +1,63 @@
+"""Errors with codes, and findings with the place where they were made."""
+
+from typing import NamedTuple
+
+
+class Finding(NamedTuple):
+    """One fault of an input.
+
+    Attributes:
+        place: File, object or section, such as ``routes.toml: route orders``.
+        field: Field or key with the fault, or empty.
+        message: What is wrong, naming the value.
+        code: Error code.
+    """
+
+    place: str
+    field: str
+    message: str
+    code: str
+
+    def __str__(self) -> str:
+        """Formats the finding for people."""
+        parts = [part for part in (self.place, self.field) if part]
+        return f"{': '.join([*parts, self.message])} [{self.code}]"
+
+
+class CodedError(Exception):
+    """An error with a code of ``errorcodes``.
+
+    Attributes:
+        code: Error code.
+        message: What happened, for people.
+        place: Where it happened: an address, a path or an object.
+    """
+
+    def __init__(self, code: str, message: str, place: str = "") -> None:
+        """Creates the error."""
+        super().__init__(code, message, place)
+        self.code = code
+        self.message = message
+        self.place = place
+
+    def __str__(self) -> str:
+        """Formats the error for people."""
+        prefix = f"{self.place}: " if self.place else ""
+        return f"{prefix}{self.message} [{self.code}]"
+
+
+class FindingsError(Exception):
+    """An input has one or more findings, reported together.
+
+    Attributes:
+        findings: All findings, in the order of the input.
+    """
+
+    def __init__(self, findings: list[Finding]) -> None:
+        """Creates the error."""
+        super().__init__(findings)
+        self.findings = findings
+
+    def __str__(self) -> str:
+        """Formats all findings, one a line."""
+        return "\n".join(str(finding) for finding in self.findings)
--- /dev/null
+++ b/rattangauge/fields.py
@@ -0,0 +1,97 @@
+"""Checks TOML tables against the generated field specifications."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from rattangauge import util
+
+
+class Codes(NamedTuple):
+    """Error codes for the faults of one kind of table."""
+
+    unknown: str
+    missing: str
+    type: str
+    range: str
+    address: str = ""
+
+
+def _is_type(kind: str, value: Any) -> bool:
+    if kind.startswith("list["):
+        return isinstance(value, list) and all(
+            _is_type(kind[5:-1], item) for item in value
+        )
+    if kind == "bool":
+        return isinstance(value, bool)
+    if kind in ("int", "float") and isinstance(value, bool):
+        return False
+    if kind == "float":
+        return isinstance(value, int | float)
+    return isinstance(value, int if kind == "int" else str)
+
+
+def _range_fault(spec: Any, value: Any) -> str:
+    if spec.choices:
+        values = value if isinstance(value, list) else [value]
+        wrong = [item for item in values if item not in spec.choices]
+        if wrong:
+            return f"{wrong[0]!r} is not one of {', '.join(spec.choices)}"
+        return ""
+    size = len(value) if isinstance(value, list) else value
+    if spec.min is not None and size < spec.min:
+        return f"{value!r} is below the minimum {spec.min}"
+    if spec.max is not None and size > spec.max:
+        return f"{value!r} is above the maximum {spec.max}"
+    return ""
+
+
+def _address_fault(spec: Any, value: Any) -> str:
+    if "address" not in spec.kind:
+        return ""
+    for text in value if isinstance(value, list) else [value]:
+        try:
+            util.parse_address(text)
+        except ValueError as error:
+            return str(error)
+    return ""
+
+
+def check(
+    specs: dict[str, Any],
+    table: dict[str, Any],
+    codes: Codes,
+    report: Callable[[str, str, str], None],
+) -> dict[str, Any]:
+    """Checks a table and returns the values of all its fields.
+
+    Args:
+        specs: Specification of each field.
+        table: The values as TOML gives them.
+        codes: Error codes to report with.
+        report: Called with field, message and code for each fault.
+
+    Returns:
+        Values with defaults filled in; faulty fields are left out.
+    """
+    for name in table.keys() - specs.keys():
+        report(name, "the field does not exist", codes.unknown)
+    values = {}
+    for name, spec in specs.items():
+        if name not in table:
+            if isinstance(spec.default, str | int | float | bool | tuple):
+                values[name] = spec.default
+            else:
+                report(name, "the field is required", codes.missing)
+            continue
+        value = table[name]
+        if not _is_type(spec.kind, value):
+            message = f"{value!r} is not of type {spec.kind}"
+            report(name, message, codes.type)
+        elif fault := _address_fault(spec, value):
+            report(name, fault, codes.address)
+        elif fault := _range_fault(spec, value):
+            report(name, fault, codes.range)
+        else:
+            values[name] = tuple(value) if isinstance(value, list) else value
+    return values
--- /dev/null
+++ b/rattangauge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about members: pure functions without I/O."""
--- /dev/null
+++ b/rattangauge/metrics.py
@@ -0,0 +1,56 @@
+"""Metrics of the daemon for prometheus."""
+
+import prometheus_client
+
+from rattangauge.calls import exchange
+from rattangauge.config import routes
+
+OTHER_TENANT = "other"
+
+_CALL_BUCKETS = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+    10.0, 30.0, 120.0,
+)  # fmt: skip
+
+CALL_SECONDS = prometheus_client.Histogram(
+    "rattangauge_call_seconds",
+    "Time from a caller's request to the end of its answer.",
+    ("service", "tenant", "call_class", "outcome"),
+    buckets=_CALL_BUCKETS,
+)
+VERSION = prometheus_client.Gauge(
+    "rattangauge_config_version", "Configuration version in force."
+)
+REJECTED = prometheus_client.Counter(
+    "rattangauge_config_rejected", "Editions that were refused.", ("code",)
+)
+MEMBERS = prometheus_client.Gauge(
+    "rattangauge_members", "Members of the zone by state.", ("state",)
+)
+CONTROL_BYTES = prometheus_client.Counter(
+    "rattangauge_control_bytes",
+    "Bytes of control messages between daemons.",
+    ("direction",),
+)
+
+
+def observe_call(
+    request: exchange.Request | None,
+    target: routes.Target | None,
+    outcome: str,
+    seconds: float,
+) -> None:
+    """Records a call of a caller.
+
+    Tenants that no policy names count as one, so that callers cannot create
+    any number of time series.
+    """
+    if request is None or target is None:
+        CALL_SECONDS.labels("", "", "", outcome).observe(seconds)
+        return
+    tenant = request.open.tenant
+    if tenant not in target.policy.tenants:
+        tenant = OTHER_TENANT
+    call_class = request.open.call_class.name.lower()
+    labels = (request.open.service, tenant, call_class, outcome)
+    CALL_SECONDS.labels(*labels).observe(seconds)
--- /dev/null
+++ b/rattangauge/net/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of the daemon: everything that does I/O."""
--- /dev/null
+++ b/rattangauge/net/upstream.py
@@ -0,0 +1,262 @@
+"""HTTP to the upstream beside the daemon."""
+
+from collections.abc import AsyncIterator
+import json
+from typing import Any
+from typing import NamedTuple
+
+import anyio
+import httpcore
+
+from rattangauge import errors
+from rattangauge import util
+from rattangauge.calls import exchange
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+
+# An upstream that answers with this header did not run the call.
+OUTCOME_HEADER = b"rattangauge-outcome"
+NOT_RUN = b"not-run"
+
+_HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"host",
+    )
+)
+
+# httpcore raises these before any byte of the request was sent.
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+
+
+class Announcement(NamedTuple):
+    """What an upstream tells its daemon about itself.
+
+    Attributes:
+        service: Service that it runs.
+        address: Address of its HTTP port.
+        slots: Calls that it can run at a time.
+        connections: Connections that it accepts.
+        state: Whether it takes calls.
+    """
+
+    service: str
+    address: util.Address
+    slots: int
+    connections: int
+    state: messages.UpstreamState
+
+
+_STATES = {
+    "starting": messages.UpstreamState.STARTING,
+    "serving": messages.UpstreamState.SERVING,
+    "draining": messages.UpstreamState.DRAINING,
+}
+
+
+def parse_announcement(data: bytes) -> Announcement:
+    """Parses the JSON announcement of an upstream.
+
+    Raises:
+        errors.FindingsError: The announcement has faults.
+    """
+    findings: list[errors.Finding] = []
+
+    def report(field: str, message: str) -> None:
+        code = errorcodes.UPSTREAM_ANNOUNCEMENT
+        findings.append(errors.Finding("announcement", field, message, code))
+
+    try:
+        table: Any = json.loads(data)
+    except ValueError as error:
+        table = None
+        report("", str(error))
+    if isinstance(table, dict):
+        return _announcement(table, report, findings)
+    if not findings:
+        report("", f"{table!r} is not an object")
+    raise errors.FindingsError(findings)
+
+
+def _announcement(
+    table: dict[str, Any], report: Any, findings: list[errors.Finding]
+) -> Announcement:
+    service = table.get("service")
+    if not isinstance(service, str) or not service:
+        report("service", f"{service!r} is not the name of a service")
+    for field in ("slots", "connections"):
+        value = table.get(field)
+        is_number = isinstance(value, int) and not isinstance(value, bool)
+        if not is_number or value < 1:
+            report(field, f"{value!r} is not a positive integer")
+    state = _STATES.get(str(table.get("state", "serving")))
+    if state is None:
+        known = ", ".join(_STATES)
+        report("state", f"{table['state']!r} is not one of {known}")
+    try:
+        address = util.parse_address(str(table.get("address")))
+    except ValueError as error:
+        report("address", str(error))
+    if findings or state is None:
+        raise errors.FindingsError(findings)
+    return Announcement(
+        table["service"], address, table["slots"], table["connections"], state
+    )
+
+
+async def _whole_body(request: exchange.Request) -> AsyncIterator[bytes]:
+    yield request.open.body
+    assert request.body is not None
+    async for piece in request.body:
+        yield piece
+
+
+def _request_headers(
+    request: exchange.Request, address: util.Address
+) -> list[tuple[bytes, bytes]]:
+    headers = [(b"host", str(address).encode())]
+    length = None
+    for header in request.open.headers:
+        if header.name == b"content-length":
+            length = header.value
+        if header.name not in _HOP_HEADERS:
+            headers.append((header.name, header.value))
+    if request.open.last:
+        length = b"%d" % len(request.open.body)
+    if length is None:
+        headers.append((b"transfer-encoding", b"chunked"))
+    elif request.open.body or request.open.method not in ("GET", "HEAD"):
+        headers.append((b"content-length", length))
+    return headers
+
+
+def _response_headers(
+    headers: list[tuple[bytes, bytes]],
+) -> tuple[messages.Header, ...]:
+    kept = []
+    for name, value in headers:
+        lowered = name.lower()
+        if lowered == b"content-length" or lowered not in _HOP_HEADERS:
+            kept.append(messages.Header(lowered, value))
+    return tuple(kept)
+
+
+def _is_not_run(response: httpcore.Response) -> bool:
+    return any(
+        name.lower() == OUTCOME_HEADER and value == NOT_RUN
+        for name, value in response.headers
+    )
+
+
+class Client:
+    """Connections to one upstream."""
+
+    def __init__(self, announcement: Announcement) -> None:
+        """Creates the client; connections are opened when needed."""
+        self._address = announcement.address
+        self._url = (
+            b"http",
+            announcement.address.host.encode(),
+            announcement.address.port,
+        )
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=announcement.connections,
+            max_keepalive_connections=announcement.connections,
+            keepalive_expiry=60.0,
+        )
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
+    async def run(
+        self, request: exchange.Request, respond: exchange.Respond
+    ) -> None:
+        """Sends a call to the upstream and passes its answer on.
+
+        Raises:
+            exchange.CallFailed: There is no whole answer.
+        """
+        answered = False
+
+        async def respond_once(response: exchange.Response) -> None:
+            nonlocal answered
+            answered = True
+            await respond(response)
+
+        remaining = request.deadline - anyio.current_time()
+        try:
+            with anyio.fail_after(remaining):
+                await self._exchange(request, respond_once)
+        except _NOT_SENT as error:
+            raise exchange.not_run(
+                errorcodes.CALL_NO_UPSTREAM, repr(error)
+            ) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            code = errorcodes.CALL_UPSTREAM_FAILED if answered else ""
+            raise exchange.unknown(repr(error), code) from error
+        except TimeoutError as error:
+            text = "the deadline passed while the call ran"
+            raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
+
+    async def _exchange(
+        self, request: exchange.Request, respond: exchange.Respond
+    ) -> None:
+        opened = request.open
+        content: Any = opened.body
+        if not opened.last:
+            content = _whole_body(request)
+        async with self._pool.stream(
+            opened.method,
+            httpcore.URL(
+                scheme=self._url[0],
+                host=self._url[1],
+                port=self._url[2],
+                target=opened.target.encode(),
+            ),
+            headers=_request_headers(request, self._address),
+            content=content,
+        ) as response:
+            if _is_not_run(response):
+                text = "the upstream refused the call"
+                raise exchange.not_run(errorcodes.CALL_OVERLOADED, text)
+            await self._pass_on(request, response, respond)
+
+    async def _pass_on(
+        self,
+        request: exchange.Request,
+        response: httpcore.Response,
+        respond: exchange.Respond,
+    ) -> None:
+        pieces = response.aiter_stream()
+        head = messages.AnswerOpen(
+            call_id=request.open.call_id,
+            status=response.status,
+            headers=_response_headers(response.headers),
+            allowance=request.open.allowance,
+        )
+        length = _content_length(response)
+        if length is not None and length <= util.SMALL_BODY_BYTES:
+            body = b"".join([piece async for piece in pieces])
+            head = head._replace(body=body, last=True)
+            await respond(exchange.Response(head, None))
+        else:
+            await respond(exchange.Response(head, pieces))
+
+
+def _content_length(response: httpcore.Response) -> int | None:
+    for name, value in response.headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value)
+    return None
--- /dev/null
+++ b/rattangauge/settings.py
@@ -0,0 +1,90 @@
+"""Reads and checks the daemon's settings file."""
+
+import pathlib
+import tomllib
+from typing import Any
+
+from rattangauge import errors
+from rattangauge import fields
+from rattangauge.generated import errorcodes
+from rattangauge.generated import settings as generated
+
+Settings = generated.Settings
+
+_CODES = fields.Codes(
+    unknown=errorcodes.SETTINGS_UNKNOWN_KEY,
+    missing=errorcodes.SETTINGS_MISSING,
+    type=errorcodes.SETTINGS_TYPE,
+    range=errorcodes.SETTINGS_RANGE,
+    address=errorcodes.SETTINGS_ADDRESS,
+)
+
+
+def _section(
+    place: str, name: str, table: Any, findings: list[errors.Finding]
+) -> dict[str, Any]:
+    def report(key: str, message: str, code: str) -> None:
+        field = f"{name}.{key}"
+        findings.append(errors.Finding(place, field, message, code))
+
+    if not isinstance(table, dict):
+        message = f"{table!r} is not a table"
+        finding = errors.Finding(place, name, message, errorcodes.SETTINGS_TYPE)
+        findings.append(finding)
+        return {}
+    return fields.check(generated.SPECS[name], table, _CODES, report)
+
+
+def parse(text: str, place: str) -> Settings:
+    """Parses the text of a settings file.
+
+    Args:
+        text: TOML.
+        place: Name of the file, for findings.
+
+    Raises:
+        errors.FindingsError: The text has faults; all are reported.
+    """
+    findings: list[errors.Finding] = []
+    try:
+        tables = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        finding = errors.Finding(
+            place, "", str(error), errorcodes.SETTINGS_SYNTAX
+        )
+        raise errors.FindingsError([finding]) from error
+    for name in tables.keys() - generated.SECTIONS.keys():
+        finding = errors.Finding(
+            place,
+            name,
+            "the section does not exist",
+            errorcodes.SETTINGS_UNKNOWN_KEY,
+        )
+        findings.append(finding)
+    values = {
+        name: _section(place, name, tables.get(name, {}), findings)
+        for name in generated.SECTIONS
+    }
+    if findings:
+        raise errors.FindingsError(findings)
+    sections = {
+        name: section(**values[name])
+        for name, section in generated.SECTIONS.items()
+    }
+    return Settings(**sections)
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        errors.FindingsError: The file cannot be read or has faults.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        finding = errors.Finding(
+            str(path), "", str(error), errorcodes.SETTINGS_UNREADABLE
+        )
+        raise errors.FindingsError([finding]) from error
+    return parse(text, str(path))
--- /dev/null
+++ b/schema/messages.capnp
@@ -0,0 +1,163 @@
+# Frames between daemons. A frame on the wire is an 8-byte head (magic "RG",
+# protocol version u16, length u32, little-endian) and one Frame message.
+@0xd3c1a9f2e47b5601;
+
+struct Frame {
+  stream @0 :UInt32;  # 0 for messages about the connection itself
+  union {
+    linkPing @1 :LinkPing;
+    linkPong @2 :LinkPong;
+    callOpen @3 :CallOpen;
+    callData @4 :CallData;
+    callCancel @5 :CallCancel;
+    credit @6 :Credit;
+    answerOpen @7 :AnswerOpen;
+    answerData @8 :AnswerData;
+    answerFailed @9 :AnswerFailed;
+    probe @10 :Probe;
+    probeAck @11 :ProbeAck;
+    joinRequest @12 :JoinRequest;
+    joinReply @13 :JoinReply;
+    versionHint @14 :VersionHint;
+    versionAck @15 :VersionAck;
+    editionRequest @16 :EditionRequest;
+    editionPart @17 :EditionPart;
+    editionRefused @18 :EditionRefused;
+    zoneExchange @19 :ZoneExchange;
+  }
+}
+
+enum Outcome { ran @0; notRun @1; unknown @2; }
+enum CallClass { short @0; long @1; }
+enum MemberState { alive @0; suspect @1; dead @2; left @3; }
+enum UpstreamState { absent @0; starting @1; serving @2; draining @3; down @4; }
+
+struct Header { name @0 :Data; value @1 :Data; }
+
+# Load of an upstream as its own daemon sees it.
+struct Load {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+  limit @2 :UInt32;
+  serviceUs @3 :UInt32;  # moving average of the service time of short calls
+  state @4 :UpstreamState;
+}
+
+struct LinkPing { sequence @0 :UInt64; }
+struct LinkPong { sequence @0 :UInt64; }
+
+struct CallOpen {
+  callId @0 :Text;
+  service @1 :Text;
+  method @2 :Text;
+  target @3 :Text;      # path and query
+  headers @4 :List(Header);
+  deadlineMs @5 :UInt32;  # time left
+  tenant @6 :Text;
+  callClass @7 :CallClass;
+  priority @8 :UInt8;
+  idempotent @9 :Bool;
+  key @10 :Text;        # idempotency key, or empty
+  depth @11 :UInt16;    # hops from the first caller
+  allowance @12 :UInt16;  # retries left over all hops
+  version @13 :UInt64;  # configuration version that chose the upstream
+  body @14 :Data;
+  last @15 :Bool;       # no callData follows
+  claimed @16 :Bool;    # the key is claimed in the store for the receiver
+}
+struct CallData { body @0 :Data; last @1 :Bool; }
+struct CallCancel { reason @0 :Text; }
+struct Credit { bytes @0 :UInt32; }  # more bytes that the receiver takes
+
+struct AnswerOpen {
+  callId @0 :Text;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+  load @3 :Load;
+  allowance @4 :UInt16;
+  body @5 :Data;
+  last @6 :Bool;
+}
+struct AnswerData { body @0 :Data; last @1 :Bool; }
+struct AnswerFailed {
+  callId @0 :Text;
+  code @1 :Text;
+  message @2 :Text;
+  outcome @3 :Outcome;
+  retryAfterMs @4 :UInt32;
+  load @5 :Load;
+  allowance @6 :UInt16;
+}
+
+struct Member {
+  instance @0 :Text;
+  zone @1 :Text;
+  region @2 :Text;
+  mesh @3 :Text;         # IP:PORT
+  operators @4 :Text;    # IP:PORT
+  service @5 :Text;      # announced by the upstream, or empty
+  incarnation @6 :UInt64;  # start of the process, milliseconds since 1970
+  counter @7 :UInt32;    # raised by the member itself to replace its record
+  state @8 :MemberState;
+  upstream @9 :UpstreamState;
+  slots @10 :UInt32;
+  version @11 :UInt64;   # configuration version in force
+  rejectedVersion @12 :UInt64;  # newest version refused, or 0
+  rejectedCode @13 :Text;
+}
+
+# One service in one availability zone, for the other zones.
+struct ServiceSummary {
+  service @0 :Text;
+  serving @1 :UInt32;
+  freeSlots @2 :UInt32;
+  addresses @3 :List(Text);  # mesh addresses of a few serving members
+}
+struct ZoneSummary {
+  zone @0 :Text;
+  region @1 :Text;
+  sequenceMs @2 :UInt64;  # a higher one replaces a lower one
+  members @3 :UInt32;
+  version @4 :UInt64;     # lowest version in force among the members
+  services @5 :List(ServiceSummary);
+}
+
+# Membership ping; a target asks the receiver to ping that address instead.
+struct Probe {
+  sender @0 :Text;
+  target @1 :Text;
+  version @2 :UInt64;
+  digest @3 :Text;
+  updates @4 :List(Member);
+}
+struct ProbeAck {
+  reached @0 :Bool;
+  version @1 :UInt64;
+  digest @2 :Text;
+  updates @3 :List(Member);
+}
+struct JoinRequest { member @0 :Member; }
+struct JoinReply {
+  members @0 :List(Member);
+  summaries @1 :List(ZoneSummary);
+  version @2 :UInt64;
+  digest @3 :Text;
+  floor @4 :UInt64;  # highest version that the address ever reported
+}
+struct VersionHint { version @0 :UInt64; digest @1 :Text; mesh @2 :Text; }
+struct VersionAck { version @0 :UInt64; digest @1 :Text; }
+
+struct EditionRequest { haveVersion @0 :UInt64; haveDigest @1 :Text; }
+struct EditionPart {
+  version @0 :UInt64;
+  digest @1 :Text;    # of the whole edition after the delta is applied
+  delta @2 :Bool;
+  data @3 :Data;
+  last @4 :Bool;
+}
+struct EditionRefused { code @0 :Text; retryAfterMs @1 :UInt32; }
+struct ZoneExchange {
+  version @0 :UInt64;
+  digest @1 :Text;
+  summaries @2 :List(ZoneSummary);
+}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside the project."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that are not shipped: generator, local fleet, demo."""
