Record the decisions of a daemon for explain

Cause: operators must see why a version, an instance or a call was treated as it was; logs alone are spread over the fleet.

Change: a bounded record of events for each daemon, read by GET /explain on the operators' port.

--- a/rattangauge/net/follow.py
+++ b/rattangauge/net/follow.py
@@ -3,6 +3,7 @@
 import anyio
 
 from rattangauge import errors
+from rattangauge import events as events_module
 from rattangauge import log
 from rattangauge import metrics
 from rattangauge import settings as settings_module
@@ -23,11 +24,13 @@
         settings: settings_module.Settings,
         store: platform.Store,
         router: router_module.Router,
+        events: events_module.Events,
     ) -> None:
         """Creates the follower; ``run`` starts it."""
         self._settings = settings
         self._store = store
         self._router = router
+        self._events = events
         self._current: edition_module.Edition | None = None
 
     @property
@@ -68,4 +71,8 @@
         self._current = edition
         self._router.use(edition)
         metrics.VERSION.set(edition.version)
-        log.logger.info("version {} is in force", edition.version)
+        self._events.record(
+            f"version {edition.version}",
+            "put in force",
+            f"it is newer and complete, digest {edition.digest[:12]}",
+        )
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from rattangauge import events as events_module
 from rattangauge import log
 from rattangauge import settings as settings_module
 from rattangauge import util
@@ -47,6 +48,7 @@
         """Creates the parts of a daemon; ``run`` starts them."""
         self._settings = settings
         self._stop = anyio.Event()
+        self._events = events_module.Events()
         self._members = members.MemberTable(_own_record(settings))
         self._links = links_module.Links(settings, tasks)
         self._worker = worker_module.Worker()
@@ -56,7 +58,9 @@
         self._gossip = gossip_module.Gossip(
             settings, self._members, self._links, self._worker
         )
-        self._follower = follow.Follower(settings, store, self._router)
+        self._follower = follow.Follower(
+            settings, store, self._router, self._events
+        )
 
     async def run(self) -> None:
         """Runs the daemon until ``stop`` is called."""
@@ -99,6 +103,7 @@
             ("GET", "/health"): self._health,
             ("GET", "/ready"): self._ready,
             ("GET", "/status"): self._status,
+            ("GET", "/explain"): self._explain,
             ("POST", "/upstream"): self._announce,
         }
 
@@ -123,6 +128,12 @@
             {"version": self._router.version, "members": records}
         )
 
+    async def _explain(
+        self, query: dict[str, str], _body: bytes
+    ) -> operators.Reply:
+        subject = query.get("subject", "")
+        return operators.json_reply({"events": self._events.tables(subject)})
+
     async def _announce(self, _query: Any, body: bytes) -> operators.Reply:
         announcement = upstream.parse_announcement(body)
         await self._worker.announce(announcement)
