Turn every fault of object and settings files into findings

Cause: deep nesting and integers of thousands of digits ended the reader with RecursionError or ValueError, which tomllib lets through; formatting such an integer for a finding raises too; NaN passed the range check of settings; a wrong value of megabytes was printed whole.

Ruled out: a limit on the size of files before parsing, since a file of 10 KB is enough for both errors.

Change: both errors become findings, values in findings are cut at 120 characters, unknown fields are reported in order, a duplicate names the other file. A set can be formatted as TOML that the reader takes.

Conclusion: a file can only give findings, never a traceback.

--- a/rattangauge/config/edition.py
+++ b/rattangauge/config/edition.py
@@ -63,7 +63,7 @@
     try:
         text = decompressor.decompress(data, MAX_EDITION_BYTES)
         tables = json.loads(text)
-    except (zlib.error, ValueError) as error:
+    except (zlib.error, ValueError, RecursionError) as error:
         raise _malformed(str(error), place) from error
     if not decompressor.eof or not isinstance(tables, dict):
         raise _malformed("the data are not a whole edition", place)
--- a/rattangauge/config/objects.py
+++ b/rattangauge/config/objects.py
@@ -1,6 +1,7 @@
 """Reads named objects from TOML files and from editions."""
 
 from collections.abc import Iterable
+import json
 import pathlib
 import re
 import tomllib
@@ -15,6 +16,7 @@
 # Kind of object, then name, then object.
 ObjectSet = dict[str, dict[str, generated.MeshObject]]
 
+MAX_LABEL = 63
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 
 _CODES = fields.Codes(
@@ -49,19 +51,24 @@
     kind: str, table: Any, place: str, findings: list[errors.Finding]
 ) -> generated.MeshObject | None:
     name = table.get("name") if isinstance(table, dict) else None
-    object_place = f"{place}: {kind} {name}"
+    label = name if isinstance(name, str) else "without a name"
+    object_place = f"{place}: {kind} {label[:MAX_LABEL]}"
     before = len(findings)
 
     def report(field: str, message: str, code: str) -> None:
         findings.append(errors.Finding(object_place, field, message, code))
 
     if not isinstance(table, dict):
-        report("", f"{table!r} is not a table", errorcodes.OBJECT_TYPE)
+        report(
+            "", f"{fields.show(table)} is not a table", errorcodes.OBJECT_TYPE
+        )
         return None
     values = fields.check(generated.SPECS[kind], table, _CODES, report)
     name = values.get("name")
     if isinstance(name, str) and not NAME_PATTERN.fullmatch(name):
-        report("name", f"{name!r} is not a name", errorcodes.OBJECT_NAME)
+        report(
+            "name", f"{fields.show(name)} is not a name", errorcodes.OBJECT_NAME
+        )
     if len(findings) > before:
         return None
     return generated.KINDS[kind](**values)
@@ -72,9 +79,11 @@
     loaded = Loaded([], [])
     for kind, rows in tables.items():
         if kind not in generated.KINDS:
-            message = f"the kind {kind!r} does not exist"
+            message = f"the kind {fields.show(kind)} does not exist"
             code = errorcodes.OBJECT_UNKNOWN_KIND
-            loaded.findings.append(errors.Finding(place, kind, message, code))
+            loaded.findings.append(
+                errors.Finding(place, kind[:MAX_LABEL], message, code)
+            )
             continue
         for row in rows if isinstance(rows, list) else [rows]:
             found = _read_table(kind, row, place, loaded.findings)
@@ -87,7 +96,8 @@
     """Reads objects from the text of one TOML file."""
     try:
         tables = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # tomllib lets the errors of long integers and deep nesting through.
         code = errorcodes.OBJECT_SYNTAX
         return Loaded([], [errors.Finding(place, "", str(error), code)])
     return read_tables(tables, place)
@@ -120,10 +130,12 @@
 def collect(located: Iterable[Located]) -> tuple[ObjectSet, Loaded]:
     """Puts objects into a set; duplicates become findings."""
     collected = empty()
+    places: dict[tuple[str, str], str] = {}
     loaded = Loaded(list(located), [])
     for kind, item, place in loaded.objects:
+        other = places.setdefault((kind, item.name), place)
         if item.name in collected[kind]:
-            message = f"another {kind} has the name {item.name!r}"
+            message = f"another {kind} has the name {item.name!r}, in {other}"
             code = errorcodes.OBJECT_DUPLICATE
             finding = errors.Finding(
                 f"{place}: {kind} {item.name}", "name", message, code
@@ -139,3 +151,19 @@
         kind: [named[name]._asdict() for name in sorted(named)]
         for kind, named in sorted(objects.items())
     }
+
+
+def _toml_value(value: Any) -> str:
+    # JSON and TOML write these values alike, but for the character DEL.
+    text = json.dumps(value, ensure_ascii=False)
+    return text.replace("\x7f", "\\u007f")
+
+
+def format_text(objects: ObjectSet) -> str:
+    """Formats a set as TOML that ``read_text`` reads."""
+    blocks = []
+    for kind, rows in to_tables(objects).items():
+        for row in rows:
+            lines = [f"{key} = {_toml_value(row[key])}" for key in row]
+            blocks.append("\n".join([f"[[{kind}]]", *lines]))
+    return "\n\n".join(blocks) + "\n" if blocks else ""
--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -17,6 +17,24 @@
     address: str = ""
 
 
+# Values in findings are cut, since a wrong value may have megabytes.
+MAX_SHOWN = 120
+
+
+def show(value: Any) -> str:
+    """Formats a value for a finding.
+
+    >>> show("a")
+    "'a'"
+    """
+    try:
+        text = repr(value)
+    except (ValueError, RecursionError):
+        # Python refuses to format integers of thousands of digits.
+        return f"a value of type {type(value).__name__}"
+    return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
+
+
 def _is_type(kind: str, value: Any) -> bool:
     if kind.startswith("list["):
         return isinstance(value, list) and all(
@@ -36,13 +54,14 @@
         values = value if isinstance(value, list) else [value]
         wrong = [item for item in values if item not in spec.choices]
         if wrong:
-            return f"{wrong[0]!r} is not one of {', '.join(spec.choices)}"
+            return f"{show(wrong[0])} is not one of {', '.join(spec.choices)}"
         return ""
     size = len(value) if isinstance(value, list) else value
-    if spec.min is not None and size < spec.min:
-        return f"{value!r} is below the minimum {spec.min}"
-    if spec.max is not None and size > spec.max:
-        return f"{value!r} is above the maximum {spec.max}"
+    # The comparisons are negated because NaN must fail them.
+    if spec.min is not None and not size >= spec.min:
+        return f"{show(value)} is below the minimum {spec.min}"
+    if spec.max is not None and not size <= spec.max:
+        return f"{show(value)} is above the maximum {spec.max}"
     return ""
 
 
@@ -74,7 +93,7 @@
     Returns:
         Values with defaults filled in; faulty fields are left out.
     """
-    for name in table.keys() - specs.keys():
+    for name in sorted(table.keys() - specs.keys()):
         report(name, "the field does not exist", codes.unknown)
     values = {}
     for name, spec in specs.items():
@@ -86,7 +105,7 @@
             continue
         value = table[name]
         if not _is_type(spec.kind, value):
-            message = f"{value!r} is not of type {spec.kind}"
+            message = f"{show(value)} is not of type {spec.kind}"
             report(name, message, codes.type)
         elif fault := _address_fault(spec, value):
             report(name, fault, codes.address)
--- a/rattangauge/settings.py
+++ b/rattangauge/settings.py
@@ -28,7 +28,7 @@
         findings.append(errors.Finding(place, field, message, code))
 
     if not isinstance(table, dict):
-        message = f"{table!r} is not a table"
+        message = f"{fields.show(table)} is not a table"
         finding = errors.Finding(place, name, message, errorcodes.SETTINGS_TYPE)
         findings.append(finding)
         return {}
@@ -48,12 +48,13 @@
     findings: list[errors.Finding] = []
     try:
         tables = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # tomllib lets the errors of long integers and deep nesting through.
         finding = errors.Finding(
             place, "", str(error), errorcodes.SETTINGS_SYNTAX
         )
         raise errors.FindingsError([finding]) from error
-    for name in tables.keys() - generated.SECTIONS.keys():
+    for name in sorted(tables.keys() - generated.SECTIONS.keys()):
         finding = errors.Finding(
             place,
             name,
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,69 @@
+"""Tests of the settings of the daemon."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rattangauge import errors
+from rattangauge import settings as settings_module
+from tools import fleet
+
+VALID = {
+    "instance": {"name": "a", "zone": "zone-1", "region": "sk-west"},
+    "listen": {
+        "callers": "127.0.0.1:1",
+        "mesh": "127.0.0.1:2",
+        "operators": "[::1]:3",
+    },
+    "platform": {"url": "http://127.0.0.1:4"},
+}
+
+
+def findings(section, **values):
+    """Findings of valid settings with changed values of one section."""
+    changed = {**VALID, section: {**VALID.get(section, {}), **values}}
+    with pytest.raises(errors.FindingsError) as caught:
+        settings_module.parse(fleet.format_settings(changed), "f")
+    return [str(finding) for finding in caught.value.findings]
+
+
+def test_defaults_are_filled_in():
+    """Guards against a missing default."""
+    text = fleet.format_settings(VALID)
+    parsed = settings_module.parse(text, "f")
+    assert parsed.mesh.ping_period_s == 1.0
+    assert parsed.listen.operators == "[::1]:3"
+
+
+@pytest.mark.parametrize(
+    ("section", "key", "value", "expected"),
+    [
+        ("log", "colour", True, "the field does not exist [settings.unkno"),
+        ("log", "level", "LOUD", "'LOUD' is not one of DEBUG, INFO, WARN"),
+        ("calls", "queue", 1.5, "1.5 is not of type int [settings.type]"),
+        ("calls", "queue", -1, "-1 is below the minimum 0 [settings.range"),
+        ("calls", "short_share", float("nan"), "nan is below the minimum"),
+        ("mesh", "contacts", ["localhost:1"], "'localhost' does not appear"),
+        ("listen", "mesh", "127.0.0.1", "'127.0.0.1' is not IP:PORT [set"),
+    ],
+)
+def test_finding_names_the_key_and_the_value(section, key, value, expected):
+    """Guards against a daemon that starts with wrong settings."""
+    (finding,) = findings(section, **{key: value})
+    assert finding.startswith(f"f: {section}.{key}: {expected}")
+
+
+def test_all_findings_are_reported_together():
+    """Guards against one finding per start."""
+    assert findings("extra", a=1) == [
+        "f: extra: the section does not exist [settings.unknown_key]"
+    ]
+    assert len(findings("calls", queue=-1, retries=11)) == 2
+
+
+@hypothesis.given(strategies.text())
+def test_any_text_gives_findings_only(text):
+    """Guards against a settings file that ends in a traceback."""
+    for value in (text, f"a = {'[' * 5000}"):
+        with pytest.raises(errors.FindingsError):
+            settings_module.parse(value, "f")
