Publish by conditional update, with rebase, conflicts and collection

Entries of the log name their parts. The head names parts that a collector may be deleting; a publisher that needs one writes it again, so that a late delete fails its condition.

A store that lost a part of the current edition cannot be published to; this needs a repair from daemons.

--- /dev/null
+++ b/rattangauge/archive.py
@@ -0,0 +1,205 @@
+"""Reads and writes editions and their parts in the platform's store."""
+
+from typing import NamedTuple
+
+from rattangauge import errors
+from rattangauge.config import edition as edition_module
+from rattangauge.config import head as head_module
+from rattangauge.config import objects as objects_module
+from rattangauge.config import retention
+from rattangauge.config import zones as zones_module
+from rattangauge.generated import errorcodes
+from rattangauge.net import platform
+
+PARTS_PREFIX = "parts/"
+# A collection costs one more write of the head, which all gateways watch.
+COLLECT_BATCH = 8
+# Keeps the names of the parts in the head below 20 KB for one collection.
+COLLECT_LIMIT = 200
+
+
+class Current(NamedTuple):
+    """The head as it was read, with its objects.
+
+    Attributes:
+        stored_version: Version of the head object in the store; 0 if none.
+        head: The head, if any.
+        objects: Objects of the head.
+    """
+
+    stored_version: int
+    head: head_module.Head | None
+    objects: objects_module.ObjectSet
+
+    @property
+    def version(self) -> int:
+        """Version of the edition; 0 if there is none."""
+        return self.head.version if self.head else 0
+
+
+async def read_head(
+    store: platform.Store,
+) -> tuple[int, head_module.Head | None]:
+    """Returns the head and its version in the store."""
+    stored = await store.get(head_module.PATH)
+    if stored is None:
+        return 0, None
+    return stored.version, head_module.parse(stored.data)
+
+
+async def _edition_data(store: platform.Store, parts: tuple[str, ...]) -> bytes:
+    pieces = []
+    for digest in parts:
+        stored = await store.get(head_module.part_path(digest))
+        if stored is None:
+            text = "a part of the edition is missing in the store"
+            path = head_module.part_path(digest)
+            raise errors.CodedError(errorcodes.PUBLISH_NOT_KEPT, text, path)
+        pieces.append(stored.data)
+    return b"".join(pieces)
+
+
+async def _objects(
+    store: platform.Store, version: int, digest: str, parts: tuple[str, ...]
+) -> objects_module.ObjectSet:
+    data = await _edition_data(store, parts)
+    return edition_module.decode(version, digest, data).objects
+
+
+async def read(store: platform.Store) -> Current:
+    """Reads the head with its objects.
+
+    Raises:
+        errors.CodedError: The store does not answer or lacks a part.
+        errors.FindingsError: The edition in the store is damaged.
+    """
+    stored_version, head = await read_head(store)
+    if head is None:
+        return Current(stored_version, None, objects_module.empty())
+    objects = await _objects(store, head.version, head.digest, head.parts)
+    return Current(stored_version, head, objects)
+
+
+async def objects_of(
+    store: platform.Store, current: Current, version: int
+) -> objects_module.ObjectSet:
+    """Returns the objects of a version of the head's log.
+
+    Raises:
+        errors.CodedError: ``publish.not_kept`` if the log or the parts are
+            no longer kept.
+    """
+    if version == 0:
+        return objects_module.empty()
+    if version == current.version:
+        return current.objects
+    entry = head_module.find_version(current.head, version)
+    if entry is None or not entry.parts:
+        text = f"the content of version {version} is not kept"
+        raise errors.CodedError(errorcodes.PUBLISH_NOT_KEPT, text)
+    return await _objects(store, version, entry.digest, entry.parts)
+
+
+async def statuses(
+    store: platform.Store, objects: objects_module.ObjectSet
+) -> list[zones_module.ZoneStatus]:
+    """Returns the status of each zone that the store or a pool names."""
+    names = {
+        path.removeprefix(zones_module.PREFIX)
+        for path in await store.list(zones_module.PREFIX)
+    }
+    for pool in objects["pool"].values():
+        names.update(pool.zones)
+    found = []
+    for zone in sorted(names):
+        stored = await store.get(zones_module.path(zone))
+        found.append(zones_module.parse(zone, stored.data if stored else None))
+    return found
+
+
+async def _upload_part(
+    store: platform.Store, path: str, data: bytes, refresh: bool
+) -> None:
+    stored = await store.get(path)
+    if stored is None:
+        expected = 0
+    elif refresh or stored.data != data:
+        # A new version makes the delete of a concurrent collector fail.
+        expected = stored.version
+    else:
+        return
+    await store.put(path, data, expected)
+
+
+async def upload(
+    store: platform.Store, head: head_module.Head | None, data: bytes
+) -> tuple[str, ...]:
+    """Uploads the missing parts of an edition; returns their digests."""
+    digests = []
+    for part in edition_module.split(data):
+        digest = edition_module.digest_of(part)
+        refresh = head is not None and digest in head.collecting
+        path = head_module.part_path(digest)
+        await _upload_part(store, path, part, refresh)
+        digests.append(digest)
+    return tuple(digests)
+
+
+async def _garbage(
+    store: platform.Store, current: Current, stored: set[str]
+) -> dict[str, platform.Stored]:
+    zone_statuses = await statuses(store, current.objects)
+    lowest = zones_module.lowest(zone_statuses)
+    digests = retention.garbage(current.head, lowest, stored)
+    found = {}
+    for digest in digests[:COLLECT_LIMIT]:
+        part = await store.get(head_module.part_path(digest))
+        if part is not None:
+            found[digest] = part
+    return found
+
+
+async def _delete(store: platform.Store, part: platform.Stored) -> None:
+    try:
+        await store.delete(part.path, part.version)
+    except errors.CodedError as error:
+        # A publisher wrote the part again, or another collector deleted it.
+        if error.code != errorcodes.STORE_CONFLICT:
+            raise
+
+
+async def collect(store: platform.Store, least: int = COLLECT_BATCH) -> int:
+    """Deletes parts that no zone and no operator needs.
+
+    The parts are first named in the head by a conditional update. A publisher
+    that has not seen this update fails its own; one that has seen it writes
+    the parts that it needs again, so that the deletes below, which name the
+    version that was read before, do not take them.
+
+    Args:
+        store: The platform's store.
+        least: Number of parts below which nothing is done.
+
+    Returns:
+        Number of parts that were deleted.
+
+    Raises:
+        errors.CodedError: The store failed; what is left is collected later.
+    """
+    current = await read(store)
+    if current.head is None:
+        return 0
+    paths = await store.list(PARTS_PREFIX)
+    stored = {path.removeprefix(PARTS_PREFIX) for path in paths}
+    found = await _garbage(store, current, stored)
+    if len(found) < least:
+        return 0
+    # Earlier names stay while their part exists: the collector that named
+    # them may be paused before its deletes.
+    collecting = {*found, *stored.intersection(current.head.collecting)}
+    head = current.head._replace(collecting=tuple(sorted(collecting)))
+    data = head_module.format_head(head)
+    await store.put(head_module.PATH, data, current.stored_version)
+    for part in found.values():
+        await _delete(store, part)
+    return len(found)
--- a/rattangauge/config/check.py
+++ b/rattangauge/config/check.py
@@ -70,7 +70,7 @@
 ) -> Iterator[errors.Finding]:
     for kind, named in objects.items():
         for name, item in named.items():
-            size = len(repr(item))
+            size = len(repr(item).encode(errors="replace"))
             if size > MAX_OBJECT_BYTES:
                 message = f"the object has {size} bytes of at most"
                 yield errors.Finding(
--- /dev/null
+++ b/rattangauge/config/progress.py
@@ -0,0 +1,183 @@
+"""Tells which proxies and zones lack a version, and why."""
+
+from collections.abc import Iterable
+from typing import Any
+from typing import NamedTuple
+
+from rattangauge.config import head as head_module
+from rattangauge.config import zones as zones_module
+
+# A zone writes its status when it changes; an older one is named as stale.
+STALE_MS = 60_000
+
+_GONE = ("dead", "left")
+
+
+class Proxy(NamedTuple):
+    """One proxy.
+
+    Attributes:
+        zone: Its availability zone.
+        instance: Its instance.
+        version: Version in force; 0 if there is none.
+        age_ms: Time since this version was published, or None if not known.
+        behind: Whether it lacks the newest version.
+        reason: Why it is behind, or empty.
+    """
+
+    zone: str
+    instance: str
+    version: int
+    age_ms: int | None
+    behind: bool
+    reason: str
+
+
+class Zone(NamedTuple):
+    """One availability zone.
+
+    Attributes:
+        zone: Its name.
+        lowest_version: Lowest version in force; None if not known.
+        highest_version: Highest version in force.
+        age_ms: Time since the lowest version was published, or None.
+        status_age_ms: Time since the zone wrote its status, or None.
+        behind: Whether a proxy of the zone lacks the newest version.
+        reason: Why it is behind, or empty.
+    """
+
+    zone: str
+    lowest_version: int | None
+    highest_version: int
+    age_ms: int | None
+    status_age_ms: int | None
+    behind: bool
+    reason: str
+
+
+class Report(NamedTuple):
+    """Where the newest version is in force."""
+
+    version: int
+    zones: list[Zone]
+    proxies: list[Proxy]
+
+
+def _age_ms(
+    head: head_module.Head | None, version: int | None, now_ms: int
+) -> int | None:
+    entry = head_module.find_version(head, version) if version else None
+    return max(0, now_ms - entry.published_ms) if entry else None
+
+
+def _proxy_reason(member: dict[str, Any], version: int) -> str:
+    rejected = member.get("rejected_version")
+    if rejected:
+        code = member.get("rejected_code") or "no code"
+        return f"it rejected version {rejected} [{code}]"
+    state = member.get("state")
+    if state == "suspect":
+        return "it does not answer pings"
+    if not version:
+        return "it has no configuration in force yet"
+    return "it has not received the newest version yet"
+
+
+def _proxy(
+    zone: str,
+    member: dict[str, Any],
+    newest: int,
+    head: head_module.Head | None,
+    now_ms: int,
+) -> Proxy:
+    value = member.get("version")
+    version = value if isinstance(value, int) else 0
+    behind = version < newest
+    reason = _proxy_reason(member, version) if behind else ""
+    instance = str(member.get("instance", ""))
+    age_ms = _age_ms(head, version, now_ms)
+    return Proxy(zone, instance, version, age_ms, behind, reason)
+
+
+def _zone_reason(
+    status: zones_module.ZoneStatus,
+    proxies: list[Proxy],
+    status_age_ms: int | None,
+) -> str:
+    if status.lowest_version is None:
+        return "its status is missing or cannot be read"
+    reasons = ["it has not received the newest version yet"]
+    if proxies:
+        behind = sum(proxy.behind for proxy in proxies)
+        reasons = [f"{behind} of {len(proxies)} proxies are behind"]
+    if status_age_ms is not None and status_age_ms > STALE_MS:
+        reasons.append(f"its status is {status_age_ms // 1000} s old")
+    return "; ".join(reasons)
+
+
+def _zone(
+    status: zones_module.ZoneStatus,
+    proxies: list[Proxy],
+    newest: int,
+    head: head_module.Head | None,
+    now_ms: int,
+) -> Zone:
+    lowest = status.lowest_version
+    behind = lowest is None or lowest < newest
+    written_ms = status.written_ms
+    status_age_ms = max(0, now_ms - written_ms) if written_ms else None
+    reason = _zone_reason(status, proxies, status_age_ms) if behind else ""
+    return Zone(
+        status.zone,
+        lowest,
+        status.highest_version,
+        _age_ms(head, lowest, now_ms),
+        status_age_ms,
+        behind,
+        reason,
+    )
+
+
+def report(
+    newest: int,
+    head: head_module.Head | None,
+    statuses: Iterable[zones_module.ZoneStatus],
+    now_ms: int,
+) -> Report:
+    """Compares what the zones report with the newest version.
+
+    Args:
+        newest: The newest version.
+        head: The head with the log, if it could be read.
+        statuses: The status of each zone.
+        now_ms: The time, in milliseconds since 1970.
+    """
+    made = Report(newest, [], [])
+    for status in statuses:
+        proxies = [
+            _proxy(status.zone, member, newest, head, now_ms)
+            for member in status.members
+            if member.get("state") not in _GONE
+        ]
+        made.proxies.extend(proxies)
+        made.zones.append(_zone(status, proxies, newest, head, now_ms))
+    return made
+
+
+def from_members(members: Iterable[Any]) -> list[zones_module.ZoneStatus]:
+    """Groups the members of a daemon's ``/status`` by zone."""
+    by_zone: dict[str, list[dict[str, Any]]] = {}
+    for member in members:
+        if isinstance(member, dict) and member.get("state") not in _GONE:
+            by_zone.setdefault(str(member.get("zone", "")), []).append(member)
+    return [_grouped(zone, by_zone[zone]) for zone in sorted(by_zone) if zone]
+
+
+def _grouped(
+    zone: str, members: list[dict[str, Any]]
+) -> zones_module.ZoneStatus:
+    values = [member.get("version") for member in members]
+    versions = [value if isinstance(value, int) else 0 for value in values]
+    return zones_module.ZoneStatus(
+        zone, min(versions), max(versions), members=tuple(members)
+    )
--- /dev/null
+++ b/rattangauge/config/zones.py
@@ -0,0 +1,74 @@
+"""What the zones report in the store's ``status/<zone>`` objects."""
+
+from collections.abc import Iterable
+import json
+from typing import Any
+from typing import NamedTuple
+
+PREFIX = "status/"
+
+
+class ZoneStatus(NamedTuple):
+    """The status that a zone wrote.
+
+    Attributes:
+        zone: Name of the zone.
+        lowest_version: Lowest version in force in the zone; None if the
+            status is missing or cannot be read.
+        highest_version: Highest version in force; the lowest one if the
+            status does not name it.
+        written_ms: When it was written, in milliseconds since 1970, or 0.
+        members: One table for each proxy, as on a daemon's ``/status``.
+    """
+
+    zone: str
+    lowest_version: int | None = None
+    highest_version: int = 0
+    written_ms: int = 0
+    members: tuple[dict[str, Any], ...] = ()
+
+
+def _number(value: Any) -> int | None:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        return None
+    return value
+
+
+def _members(value: Any) -> tuple[dict[str, Any], ...]:
+    rows = value if isinstance(value, list) else []
+    return tuple(row for row in rows if isinstance(row, dict))
+
+
+def path(zone: str) -> str:
+    """Returns the path of a zone's status in the store."""
+    return f"{PREFIX}{zone}"
+
+
+def parse(zone: str, data: bytes | None) -> ZoneStatus:
+    """Parses the status of a zone; a faulty one counts as missing."""
+    try:
+        table = json.loads(data or b"")
+    except (ValueError, RecursionError):
+        return ZoneStatus(zone)
+    if not isinstance(table, dict):
+        return ZoneStatus(zone)
+    lowest = _number(table.get("lowest_version"))
+    return ZoneStatus(
+        zone,
+        lowest,
+        max(_number(table.get("highest_version")) or 0, lowest or 0),
+        _number(table.get("written_ms")) or 0,
+        _members(table.get("members")),
+    )
+
+
+def highest(statuses: Iterable[ZoneStatus]) -> int:
+    """Returns the highest version that any zone runs, or 0."""
+    return max((status.highest_version for status in statuses), default=0)
+
+
+def lowest(statuses: Iterable[ZoneStatus]) -> int | None:
+    """Returns the lowest version that any zone runs; None if not known."""
+    versions = [status.lowest_version for status in statuses]
+    known = [version for version in versions if version is not None]
+    return min(known) if known and len(known) == len(versions) else None
--- /dev/null
+++ b/tests/stores.py
@@ -0,0 +1,93 @@
+"""A store in memory with faults."""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+
+from rattangauge import errors
+from rattangauge.generated import errorcodes
+from rattangauge.net import platform
+
+
+class MemoryStore:
+    """The ``Store`` interface in memory.
+
+    Attributes:
+        fail: Number of calls that fail before they have an effect.
+        lose_replies: Number of writes of ``lose_path`` whose reply is lost.
+        lose_path: Path whose replies are lost.
+        delay_s: Time that each call takes, in seconds.
+        before_put: Called with the path before each write.
+        calls: Number of calls by method.
+    """
+
+    def __init__(self) -> None:
+        """Creates an empty store without faults."""
+        self.values: dict[str, tuple[int, bytes]] = {}
+        self.fail = 0
+        self.lose_replies = 0
+        self.lose_path = "head"
+        self.delay_s = 0.0
+        self.before_put: Callable[[str], Awaitable[None]] | None = None
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._version = 0
+
+    async def _begin(self, method: str, path: str) -> None:
+        self.calls[method] += 1
+        await anyio.sleep(self.delay_s)
+        if self.fail:
+            self.fail -= 1
+            code = errorcodes.STORE_UNAVAILABLE
+            raise errors.CodedError(code, "down", path)
+
+    def _check(self, path: str, expected: int) -> None:
+        if self.values.get(path, (0, b""))[0] != expected:
+            code = errorcodes.STORE_CONFLICT
+            raise errors.CodedError(code, f"not {expected}", path)
+
+    def _reply(self, path: str) -> None:
+        if self.lose_replies and path.startswith(self.lose_path):
+            self.lose_replies -= 1
+            code = errorcodes.STORE_OUTCOME_UNKNOWN
+            raise errors.CodedError(code, "the reply is lost", path)
+
+    async def get(self, path: str) -> platform.Stored | None:
+        """See ``platform.Store.get``."""
+        await self._begin("get", path)
+        if path not in self.values:
+            return None
+        return platform.Stored(path, *self.values[path])
+
+    async def put(self, path: str, data: bytes, expected: int) -> int:
+        """See ``platform.Store.put``."""
+        await self._begin("put", path)
+        if self.before_put is not None:
+            await self.before_put(path)
+        if len(data) > platform.MAX_VALUE_BYTES:
+            code = errorcodes.STORE_TOO_LARGE
+            raise errors.CodedError(code, "too large", path)
+        self._check(path, expected)
+        self._version += 1
+        self.values[path] = (self._version, data)
+        self._reply(path)
+        return self._version
+
+    async def watch(
+        self, path: str, version: int, timeout_s: float
+    ) -> platform.Stored | None:
+        """See ``platform.Store.watch``."""
+        raise NotImplementedError
+
+    async def list(self, prefix: str) -> list[str]:
+        """See ``platform.Store.list``."""
+        await self._begin("list", prefix)
+        return sorted(path for path in self.values if path.startswith(prefix))
+
+    async def delete(self, path: str, expected: int) -> None:
+        """See ``platform.Store.delete``."""
+        await self._begin("delete", path)
+        self._check(path, expected)
+        del self.values[path]
+        self._reply(path)
--- /dev/null
+++ b/tests/test_publish.py
@@ -0,0 +1,137 @@
+"""Tests of the plan of a publish and of the log."""
+
+import pytest
+
+from rattangauge import errors
+from rattangauge.config import head as head_module
+from rattangauge.config import objects as objects_module
+from rattangauge.config import progress
+from rattangauge.config import publish
+from rattangauge.config import zones
+from rattangauge.generated import objects as generated
+from tests import builders
+
+
+def head(*changed, first=2):
+    """A head with one entry for each tuple of changed objects."""
+    made = None
+    for version, names in enumerate(changed, first):
+        entry = head_module.Entry(
+            version, f"d{version}", f"op{version}", "anna", version, names
+        )
+        made = head_module.append(made, entry, (f"p{version}",))
+    return made
+
+
+def with_policy(name, **fields):
+    objects = builders.object_set()
+    objects["policy"][name] = generated.Policy(name, **fields)
+    return objects
+
+
+SEEN = publish.Seen(2, builders.object_set())
+
+
+def conflict(current_head, current, wanted, seen=SEEN):
+    with pytest.raises(errors.CodedError) as caught:
+        publish.plan(current_head, current, wanted, seen)
+    assert caught.value.code == "publish.conflict"
+    return str(caught.value)
+
+
+def test_rebase_onto_other_objects():
+    """Guards against dropping either of two independent changes."""
+    current = with_policy("other")
+    wanted = publish.Wanted(with_policy("mine"))
+    log = head((), ("policy/other",))
+    plan = publish.plan(log, current, wanted, SEEN)
+    assert plan.changed == ("policy/mine",)
+    assert plan.objects["policy"].keys() == {"default", "mine", "other"}
+
+
+@pytest.mark.parametrize("changed", [("policy/default",), ("*",)])
+def test_same_object_conflicts(changed):
+    """Guards against a lost update; a long list of changes means all."""
+    wanted = publish.Wanted(with_policy("default", retries=1))
+    current = with_policy("default", retries=9)
+    text = conflict(head((), changed), current, wanted)
+    assert "operation op3 of anna" in text
+    assert "version 3" in text
+
+
+def test_deleted_and_changed_object_conflicts():
+    """Guards against a deletion of what another operator just changed."""
+    empty = objects_module.empty()
+    wanted = publish.Wanted(empty, (("policy", "default"),))
+    current = with_policy("default", retries=9)
+    conflict(head((), ("policy/default",)), current, wanted)
+    plan = publish.plan(head(()), SEEN.objects, wanted, SEEN)
+    assert plan.changed == ("policy/default",)
+    assert plan.objects["policy"] == {}
+
+
+def test_log_that_is_too_short_conflicts():
+    """Guards against a rebase over publishes that the log has dropped."""
+    wanted = publish.Wanted(with_policy("mine"))
+    text = conflict(head((), first=9), SEEN.objects, wanted)
+    assert "does not reach back to version 2" in text
+
+
+def test_object_to_delete_must_exist():
+    """Guards against a misspelt name that looks like a success."""
+    wanted = publish.Wanted(objects_module.empty(), (("pool", "none"),))
+    with pytest.raises(errors.CodedError) as caught:
+        publish.plan(head(()), SEEN.objects, wanted, SEEN)
+    assert str(caught.value).startswith("pool/none: ")
+
+
+def test_head_stays_below_the_limit_of_the_store():
+    """Guards against a head that the platform refuses to take."""
+    names = tuple(f"service/{number:063}" for number in range(300))
+    many = head(*[names] * 150)
+    assert len(head_module.format_head(many)) <= head_module.MAX_HEAD_BYTES
+    assert len(many.log) >= head_module.LEAST_LOG_ENTRIES
+    assert head_module.parse(head_module.format_head(many)) == many
+    assert head((*names, "pool/a")).log[-1].changed == ("*",)
+    assert len(head(*[()] * 150).log) == head_module.LOG_ENTRIES
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b"[" * 100_000, b'{"version": "1"}', b"{}"]
+)
+def test_faulty_head_and_status_are_recognised(data):
+    """Guards against a traceback over a damaged object in the store."""
+    with pytest.raises(errors.CodedError) as caught:
+        head_module.parse(data)
+    assert caught.value.code == "store.protocol"
+    assert zones.lowest([zones.parse("z", data)]) is None
+
+
+def test_report_names_who_is_behind_and_why():
+    """Guards against a proxy that is behind without a reason."""
+    members = [
+        {"instance": "a", "version": 3},
+        {"instance": "b", "version": 2, "rejected_version": 3},
+        {"instance": "c", "version": 2, "state": "suspect"},
+        {"instance": "d", "version": 0},
+        {"instance": "e", "version": 1, "state": "dead"},
+    ]
+    status = zones.ZoneStatus("z", 0, 3, 1, tuple(members))
+    silent = zones.ZoneStatus("y")
+    made = progress.report(3, head((), ()), [status, silent], 1003)
+    assert [(p.instance, p.behind, p.age_ms) for p in made.proxies] == [
+        ("a", False, 1000),
+        ("b", True, 1001),
+        ("c", True, 1001),
+        ("d", True, None),
+    ]
+    assert [proxy.reason for proxy in made.proxies] == [
+        "",
+        "it rejected version 3 [no code]",
+        "it does not answer pings",
+        "it has no configuration in force yet",
+    ]
+    assert [zone.reason for zone in made.zones] == [
+        "3 of 4 proxies are behind",
+        "its status is missing or cannot be read",
+    ]
