--- a/rattangauge/archive.py
+++ b/rattangauge/archive.py
@@ -63,15 +63,20 @@
     store: platform.Store, version: int, digest: str, parts: tuple[str, ...]
 ) -> objects_module.ObjectSet:
     data = await _edition_data(store, parts)
-    return edition_module.decode(version, digest, data).objects
+    try:
+        return edition_module.decode(version, digest, data).objects
+    except errors.FindingsError as error:
+        text = f"the edition in the store is damaged: {error}"
+        code = errorcodes.STORE_PROTOCOL
+        raise errors.CodedError(code, text, f"version {version}") from error
 
 
 async def read(store: platform.Store) -> Current:
     """Reads the head with its objects.
 
     Raises:
-        errors.CodedError: The store does not answer or lacks a part.
-        errors.FindingsError: The edition in the store is damaged.
+        errors.CodedError: The store does not answer, lacks a part or has a
+            damaged edition.
     """
     stored_version, head = await read_head(store)
     if head is None:
--- /dev/null
+++ b/rattangauge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command-line tool."""
--- /dev/null
+++ b/rattangauge/commands/reading.py
@@ -0,0 +1,171 @@
+"""The commands ``get``, ``diff`` and ``history``."""
+
+import datetime
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+from rattangauge import archive
+from rattangauge import errors
+from rattangauge.commands import applying
+from rattangauge.commands import checking
+from rattangauge.commands import output
+from rattangauge.commands import store as store_module
+from rattangauge.config import objects as objects_module
+from rattangauge.config import publish
+from rattangauge.generated import errorcodes
+
+# Changed objects that the table of publishes names; --json has all.
+MAX_NAMES = 3
+
+
+class Change(NamedTuple):
+    """Difference of one object; ``before`` or ``after`` may be missing."""
+
+    object: str
+    before: dict[str, Any] | None
+    after: dict[str, Any] | None
+
+
+def select(
+    objects: objects_module.ObjectSet, subject: str
+) -> objects_module.ObjectSet:
+    """Returns the objects of ``KIND`` or ``KIND/NAME``; all if empty.
+
+    Raises:
+        errors.CodedError: The subject is not valid or names no object.
+    """
+    if not subject:
+        return objects
+    kind, name = applying.parse_key(
+        subject if "/" in subject else f"{subject}/*"
+    )
+    named = objects[kind]
+    if name != "*":
+        if name not in named:
+            text = "the object does not exist"
+            code = errorcodes.PUBLISH_NO_OBJECT
+            raise errors.CodedError(code, text, subject)
+        named = {name: named[name]}
+    return {**objects_module.empty(), kind: named}
+
+
+async def get(
+    options: store_module.StoreOptions,
+    subject: str,
+    version: int | None,
+    as_json: bool,
+) -> int:
+    """Prints objects of the head or of a kept version."""
+    async with store_module.open_store(options) as store:
+        current = await archive.read(store)
+        wanted = current.version if version is None else version
+        objects = await archive.objects_of(store, current, wanted)
+    selected = select(objects, subject)
+    if as_json:
+        tables = objects_module.to_tables(selected)
+        output.print_json({"version": wanted, "objects": tables})
+    else:
+        print(f"# version {wanted}")
+        print(objects_module.format_text(selected), end="")
+    return output.EXIT_OK
+
+
+def changes(
+    before: objects_module.ObjectSet, after: objects_module.ObjectSet
+) -> list[Change]:
+    """Returns the differences of two sets."""
+    found = []
+    for kind, name in publish.difference(before, after):
+        old = before[kind].get(name)
+        new = after[kind].get(name)
+        change = Change(
+            publish.key(kind, name),
+            old._asdict() if old else None,
+            new._asdict() if new else None,
+        )
+        found.append(change)
+    return found
+
+
+def format_change(change: Change) -> str:
+    """Formats a difference for people, one line for each field."""
+    if change.before is None:
+        return f"+ {change.object}"
+    if change.after is None:
+        return f"- {change.object}"
+    lines = [f"~ {change.object}"]
+    for field, old in change.before.items():
+        new = change.after[field]
+        if old != new:
+            lines.append(f"    {field}: {old!r} -> {new!r}")
+    return "\n".join(lines)
+
+
+async def diff(
+    options: store_module.StoreOptions,
+    paths: list[pathlib.Path],
+    version: int | None,
+    as_json: bool,
+) -> int:
+    """Prints what files change, or what changed since a version."""
+    files = checking.read(paths)
+    if files.findings:
+        raise errors.FindingsError(files.findings)
+    if not paths and version is None:
+        text = "nothing to compare: name files or --version"
+        raise errors.CodedError(errorcodes.OPERATORS_REQUEST, text)
+    async with store_module.open_store(options) as store:
+        current = await archive.read(store)
+        base = current.version if version is None else version
+        before = await archive.objects_of(store, current, base)
+    after = current.objects
+    if paths:
+        after = {
+            kind: {**before[kind], **files.objects[kind]} for kind in before
+        }
+    found = changes(before, after)
+    if as_json:
+        tables = [change._asdict() for change in found]
+        output.print_json({"version": base, "changes": tables})
+    else:
+        for change in found:
+            print(format_change(change))
+    return output.EXIT_OK
+
+
+def _time(published_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(published_ms / 1000, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def _summary(names: tuple[str, ...]) -> str:
+    shown = ", ".join(names[:MAX_NAMES])
+    more = len(names) - MAX_NAMES
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+async def history(
+    options: store_module.StoreOptions, limit: int, as_json: bool
+) -> int:
+    """Prints the last publishes, the newest one first."""
+    async with store_module.open_store(options) as store:
+        _, head = await archive.read_head(store)
+    entries = list(reversed(head.log))[:limit] if head else []
+    if as_json:
+        output.print_json({"log": [entry._asdict() for entry in entries]})
+        return output.EXIT_OK
+    rows = [
+        [
+            entry.version,
+            _time(entry.published_ms),
+            entry.author,
+            entry.operation,
+            _summary(entry.changed),
+        ]
+        for entry in entries
+    ]
+    output.print_table(
+        ["version", "published", "author", "operation", "changed"], rows
+    )
+    return output.EXIT_OK
--- /dev/null
+++ b/rattangauge/commands/status.py
@@ -0,0 +1,92 @@
+"""The command ``status``: the version in force per proxy and per zone."""
+
+from typing import Any
+
+from rattangauge import archive
+from rattangauge import errors
+from rattangauge import util
+from rattangauge.commands import daemon
+from rattangauge.commands import output
+from rattangauge.commands import store as store_module
+from rattangauge.config import progress
+from rattangauge.generated import errorcodes
+
+
+async def _from_store(options: store_module.StoreOptions) -> progress.Report:
+    async with store_module.open_store(options) as store:
+        current = await archive.read(store)
+        statuses = await archive.statuses(store, current.objects)
+    return progress.report(
+        current.version, current.head, statuses, util.now_ms()
+    )
+
+
+async def _from_daemon(address: str, timeout_s: float) -> progress.Report:
+    table = await daemon.request("GET", address, "/status", timeout_s)
+    members = table.get("members")
+    if not isinstance(members, list):
+        text = "the answer has no list of members"
+        raise errors.CodedError(errorcodes.OPERATORS_REFUSED, text, address)
+    statuses = progress.from_members(members)
+    own = table.get("version")
+    # A daemon knows the head only by the versions that the members report.
+    newest = max(
+        [own if isinstance(own, int) else 0]
+        + [status.highest_version for status in statuses]
+    )
+    return progress.report(newest, None, statuses, util.now_ms())
+
+
+def _mark(behind: bool) -> str:
+    return "behind" if behind else "current"
+
+
+def _print(report: progress.Report) -> None:
+    print(f"newest version: {report.version}\n")
+    rows: list[list[Any]] = [
+        [
+            zone.zone,
+            "-" if zone.lowest_version is None else zone.lowest_version,
+            output.format_age(zone.age_ms),
+            output.format_age(zone.status_age_ms),
+            _mark(zone.behind),
+            zone.reason,
+        ]
+        for zone in report.zones
+    ]
+    columns = ["zone", "version", "age", "status age", "state", "reason"]
+    output.print_table(columns, rows)
+    rows = [
+        [
+            proxy.zone,
+            proxy.instance,
+            proxy.version,
+            output.format_age(proxy.age_ms),
+            _mark(proxy.behind),
+            proxy.reason,
+        ]
+        for proxy in report.proxies
+    ]
+    print()
+    columns = ["zone", "proxy", "version", "age", "state", "reason"]
+    output.print_table(columns, rows)
+
+
+async def run(
+    options: store_module.StoreOptions, address: str, as_json: bool
+) -> int:
+    """Prints the status of all zones and proxies."""
+    if address:
+        report = await _from_daemon(address, options.timeout_s)
+    else:
+        report = await _from_store(options)
+    if as_json:
+        table = {
+            "version": report.version,
+            "zones": [zone._asdict() for zone in report.zones],
+            "proxies": [proxy._asdict() for proxy in report.proxies],
+        }
+        output.print_json(table)
+    else:
+        _print(report)
+    return output.EXIT_OK
--- /dev/null
+++ b/rattangauge/commands/store.py
@@ -0,0 +1,42 @@
+"""How commands reach the platform's store."""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import NamedTuple
+
+import httpx
+
+from rattangauge import errors
+from rattangauge.generated import errorcodes
+from rattangauge.net import platform
+
+
+class StoreOptions(NamedTuple):
+    """Options of the command line for the store.
+
+    Attributes:
+        url: Base URL of the object API; empty if not given.
+        timeout_s: Time to wait for one answer, in seconds.
+    """
+
+    url: str
+    timeout_s: float
+
+
+@contextlib.asynccontextmanager
+async def open_store(options: StoreOptions) -> AsyncIterator[platform.Store]:
+    """Opens the store.
+
+    Raises:
+        errors.CodedError: ``operators.request`` if the URL is not valid.
+    """
+    try:
+        scheme = httpx.URL(options.url).scheme
+    except httpx.InvalidURL as error:
+        scheme = repr(error)
+    if scheme not in ("http", "https"):
+        text = f"--store {options.url!r} is not an HTTP URL"
+        raise errors.CodedError(errorcodes.OPERATORS_REQUEST, text)
+    client = platform.open_client(options.url, options.timeout_s)
+    async with client:
+        yield platform.HttpStore(client)
--- a/rattangauge/config/progress.py
+++ b/rattangauge/config/progress.py
@@ -79,7 +79,7 @@
     if state == "suspect":
         return "it does not answer pings"
     if not version:
-        return "it has no configuration in force yet"
+        return "it reports no configuration in force"
     return "it has not received the newest version yet"
 
 
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 
 import anyio
 
@@ -18,6 +19,8 @@
         fail: Number of calls that fail before they have an effect.
         lose_replies: Number of writes of ``lose_path`` whose reply is lost.
         lose_path: Path whose replies are lost.
+        late_writes: Number of writes of ``lose_path`` that take effect only
+            at the next write, after their caller was told of a time-out.
         delay_s: Time that each call takes, in seconds.
         before_put: Called with the path before each write.
         calls: Number of calls by method.
@@ -29,9 +32,11 @@
         self.fail = 0
         self.lose_replies = 0
         self.lose_path = "head"
+        self.late_writes = 0
         self.delay_s = 0.0
         self.before_put: Callable[[str], Awaitable[None]] | None = None
         self.calls: collections.Counter[str] = collections.Counter()
+        self._late: list[tuple[str, bytes, int]] = []
         self._version = 0
 
     async def _begin(self, method: str, path: str) -> None:
@@ -68,11 +73,22 @@
         if len(data) > platform.MAX_VALUE_BYTES:
             code = errorcodes.STORE_TOO_LARGE
             raise errors.CodedError(code, "too large", path)
+        if self.late_writes and path.startswith(self.lose_path):
+            self.late_writes -= 1
+            self._late.append((path, data, expected))
+            code = errorcodes.STORE_OUTCOME_UNKNOWN
+            raise errors.CodedError(code, "timed out", path)
+        while self._late:
+            with contextlib.suppress(errors.CodedError):
+                self._write(*self._late.pop())
+        self._write(path, data, expected)
+        self._reply(path)
+        return self._version
+
+    def _write(self, path: str, data: bytes, expected: int) -> None:
         self._check(path, expected)
         self._version += 1
         self.values[path] = (self._version, data)
-        self._reply(path)
-        return self._version
 
     async def watch(
         self, path: str, version: int, timeout_s: float
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,244 @@
+"""Tests of the operators' command-line tool against stand-ins."""
+
+import asyncio
+import json
+import pathlib
+import threading
+import time
+
+import httpx
+import hypercorn.asyncio
+import hypercorn.config
+import pytest
+
+from rattangauge import cmdline
+from rattangauge.net import operators
+from standins import platform as platform_standin
+from tools import fleet
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+@pytest.fixture
+def serve():
+    """Serves applications in threads until the test ends."""
+    stop = threading.Event()
+    threads = []
+
+    async def stopped():
+        while not stop.is_set():
+            await asyncio.sleep(0.02)
+
+    def start(app):
+        config = hypercorn.config.Config()
+        config.bind = [fleet.free_address("127.0.0.1")]
+        config.loglevel = "CRITICAL"
+        served = hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped)
+        threads.append(threading.Thread(target=asyncio.run, args=(served,)))
+        threads[-1].start()
+        wait_for(config.bind[0])
+        return config.bind[0]
+
+    yield start
+    stop.set()
+    for thread in threads:
+        thread.join()
+
+
+def wait_for(address):
+    for _ in range(100):
+        try:
+            return httpx.get(f"http://{address}/counters", timeout=1.0)
+        except httpx.HTTPError:
+            time.sleep(0.02)
+    raise TimeoutError(address)
+
+
+@pytest.fixture
+def store(monkeypatch, serve):
+    url = f"http://{serve(platform_standin.Platform().app)}"
+    monkeypatch.setenv("RATTANGAUGE_STORE", url)
+    return url
+
+
+@pytest.fixture
+def rattangauge(capsys):
+    """Runs a command; returns exit code, output and errors."""
+
+    def run(*tokens):
+        code = cmdline.run([str(token) for token in tokens])
+        captured = capsys.readouterr()
+        assert "Traceback" not in captured.err
+        return code, captured.out, captured.err
+
+    return run
+
+
+def put_status(store, zone, **fields):
+    url = f"{store}/objects/status/{zone}"
+    headers = {"if-none-match": "*"}
+    httpx.put(url, content=json.dumps(fields), headers=headers)
+
+
+def write(folder, text):
+    path = folder / "objects.toml"
+    path.write_text(text)
+    return path
+
+
+POLICY = '[[policy]]\nname = "a"\nretries = {}\n'
+
+
+def test_check_prints_findings_with_place(rattangauge, tmp_path):
+    """Guards against a check that passes or hides where the fault is."""
+    path = write(tmp_path, POLICY.format("11\nretry = 1"))
+    code, out, _ = rattangauge("check", path)
+    assert code == 1
+    assert out.splitlines() == [
+        f"{path}: policy a: retry: the field does not exist "
+        "[object.unknown_field]",
+        f"{path}: policy a: retries: 11 is above the maximum 10 [object.range]",
+    ]
+    code, out, _ = rattangauge("check", path, "--json")
+    assert json.loads(out)["findings"][1]["code"] == "object.range"
+    assert rattangauge("check", EXAMPLES / "choirs") == (0, "", "")
+
+
+def test_publish_and_read_back(rattangauge, store, tmp_path):
+    """Guards against a broken path from files to the store and back."""
+    assert rattangauge("apply", EXAMPLES / "choirs")[0] == 0
+    path = write(tmp_path, POLICY.format(5))
+    assert "+ policy/a" in rattangauge("diff", path)[1]
+    assert rattangauge("apply", path, "--author", "eva")[0] == 0
+    write(tmp_path, POLICY.format(6))
+    out = rattangauge("diff", path)[1]
+    assert out == "~ policy/a\n    retries: 5 -> 6\n"
+    out = rattangauge("get", "policy/a")[1]
+    assert out.startswith('# version 2\n[[policy]]\nname = "a"\n')
+    code, out, _ = rattangauge("apply", "--delete", "policy/a", "--json")
+    assert json.loads(out)["changed"] == ["policy/a"]
+    code, _, err = rattangauge("get", "policy/a")
+    assert code == 3
+    assert err == "policy/a: the object does not exist [publish.no_object]\n"
+    assert rattangauge("apply", "--from-version", 2)[0] == 0
+    assert rattangauge("diff", "--version", 3)[1] == "+ policy/a\n"
+    out = rattangauge("history", "--json")[1]
+    log = json.loads(out)["log"]
+    assert [entry["version"] for entry in log] == [4, 3, 2, 1]
+    assert log[2]["author"] == "eva"
+    assert "policy/a" in rattangauge("history")[1]
+
+
+def test_conflict_and_findings_have_exit_codes(rattangauge, store, tmp_path):
+    """Guards against scripts that take a refusal for a success."""
+    path = write(tmp_path, POLICY.format(1))
+    assert rattangauge("apply", path)[0] == 0
+    write(tmp_path, POLICY.format(2))
+    assert rattangauge("apply", path)[0] == 0
+    write(tmp_path, POLICY.format(3))
+    code, out, err = rattangauge("apply", path, "--base", 1)
+    assert (code, out) == (3, "")
+    assert "changed policy/a in version 2 [publish.conflict]" in err
+    write(tmp_path, '[[service]]\nname = "s"\npools = ["none"]\n')
+    code, _, err = rattangauge("apply", path)
+    assert code == 1
+    assert err.startswith(f"{path}: service s: pools: the pool 'none'")
+
+
+def test_lost_reply_and_store_down(rattangauge, store, tmp_path):
+    """Guards against a duplicate or a traceback when the store fails."""
+    path = write(tmp_path, POLICY.format(1))
+    httpx.post(f"{store}/control", json={"lose_replies": 2})
+    code, _, err = rattangauge("apply", path)
+    assert (code, err) == (0, "")
+    log = json.loads(rattangauge("history", "--json")[1])["log"]
+    assert [entry["version"] for entry in log] == [1]
+    httpx.post(f"{store}/control", json={"down": True})
+    code, _, err = rattangauge("history")
+    assert code == 4
+    assert err == "head: the store answered 503 [store.unavailable]\n"
+
+
+def test_status_from_the_store_and_wait(rattangauge, store, tmp_path):
+    """Guards against reporting a version in force that a zone lacks."""
+    path = write(tmp_path, POLICY.format(1))
+    assert rattangauge("apply", path)[0] == 0
+    proxies = [{"instance": "a", "version": 1}, {"instance": "b"}]
+    put_status(store, "zone-1", lowest_version=1)
+    assert rattangauge("apply", path, "--wait")[0] == 0
+    put_status(store, "zone-2", lowest_version=0, members=proxies)
+    code, _, err = rattangauge("apply", path, "--wait", "--wait-s", "0.2")
+    assert code == 6
+    assert "zone-2 (1 of 2 proxies are behind)" in err
+    report = json.loads(rattangauge("status", "--json")[1])
+    assert [zone["behind"] for zone in report["zones"]] == [False, True]
+    assert report["proxies"][1]["reason"].startswith("it reports no config")
+    assert "zone-2" in rattangauge("status")[1]
+
+
+def daemon_app(requests):
+    members = [
+        {"instance": "a", "zone": "z", "version": 2, "state": "alive"},
+        {"instance": "b", "zone": "z", "version": 1, "state": "suspect"},
+    ]
+    event = {
+        "time_ms": 0,
+        "subject": "version 2",
+        "action": "put in force",
+        "reason": "it is newer",
+        "code": "",
+    }
+
+    def endpoint(value):
+        async def answer(query, _body):
+            requests.append(query)
+            return operators.json_reply(value)
+
+        return answer
+
+    return operators.application(
+        {
+            ("GET", "/status"): endpoint({"version": 2, "members": members}),
+            ("GET", "/explain"): endpoint({"events": [event]}),
+            ("POST", "/drain"): endpoint({"draining": True}),
+        }
+    )
+
+
+def test_commands_that_ask_a_daemon(rattangauge, serve):
+    """Guards against a wrong path or method towards the daemon."""
+    requests = []
+    address = serve(daemon_app(requests))
+    out = rattangauge("status", "--daemon", address, "--json")[1]
+    behind = [proxy["behind"] for proxy in json.loads(out)["proxies"]]
+    assert behind == [False, True]
+    out = rattangauge("explain", "version 2", "--daemon", address)[1]
+    assert "version 2: put in force: it is newer" in out
+    assert requests[-1] == {"subject": "version 2"}
+    code, out, _ = rattangauge("drain", "--daemon", address)
+    assert (code, out) == (0, f"{address} drains\n")
+
+
+@pytest.mark.parametrize(
+    ("tokens", "code", "expected"),
+    [
+        (["bogus"], 2, "Unknown command"),
+        (["check"], 2, "operators.request"),
+        (["explain", "x", "--daemon", "here"], 2, "'here' is not IP:PORT"),
+        (["apply", "--delete", "nothing"], 2, "is not KIND/NAME"),
+        (["get", "--store", "nowhere"], 2, "is not an HTTP URL"),
+        (["apply", "--from-version", "1", "x"], 2, "takes neither files"),
+        (["history", "--limit", "0"], 2, "Must be >= 1"),
+        (["history", "--timeout-s", "nan"], 2, "Must be > 0"),
+        (["apply", "/none.toml"], 1, "[object.unreadable]"),
+        (["history", "--store", "http://127.0.0.1:1"], 4, "store.unavail"),
+        (["drain", "--daemon", "127.0.0.1:1"], 4, "operators.unreachable"),
+    ],
+)
+def test_expected_errors_have_code_and_exit_code(
+    rattangauge, tokens, code, expected
+):
+    """Guards against tracebacks and a success code for expected errors."""
+    found, out, err = rattangauge(*tokens)
+    assert (found, out) == (code, "")
+    assert expected in err
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -129,7 +129,7 @@
         "",
         "it rejected version 3 [no code]",
         "it does not answer pings",
-        "it has no configuration in force yet",
+        "it reports no configuration in force",
     ]
     assert [zone.reason for zone in made.zones] == [
         "3 of 4 proxies are behind",
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -111,11 +111,12 @@
 
 
 @pytest.mark.parametrize("path", ["head", "parts/"])
-async def test_lost_reply_publishes_once(path):
+@pytest.mark.parametrize("fault", ["lose_replies", "late_writes"])
+async def test_lost_reply_publishes_once(path, fault):
     """Guards against a second version after a write without a reply."""
     store = stores.MemoryStore()
     store.lose_path = path
-    store.lose_replies = 1
+    setattr(store, fault, 1)
     result = await apply(store, builders.object_set(), "op")
     head = await head_of(store)
     assert result.version == head.version == 1
