Report a write's outcome as unknown on server errors other than 503

Cause: the adapter reported store.unavailable, "nothing was written", for every 5xx answer to a write; a gateway before the store answers 502 or 504 also after the write took effect.

Ruled out: treating 503 as unknown too; the object API documents it as a refusal.

Change: writes and deletes answer store.outcome_unknown for 5xx other than 503.

Conclusion: a caller of the adapter may trust store.unavailable.

--- a/rattangauge/net/platform.py
+++ b/rattangauge/net/platform.py
@@ -56,12 +56,21 @@
         """Deletes a value if its version is the expected one."""
 
 
-def _unexpected(response: httpx.Response, path: str) -> errors.CodedError:
-    if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
-        text = f"the store answered {response.status_code}"
-        return errors.CodedError(errorcodes.STORE_UNAVAILABLE, text, path)
-    text = f"the store answered {response.status_code}"
-    return errors.CodedError(errorcodes.STORE_PROTOCOL, text, path)
+def _unexpected(
+    response: httpx.Response, path: str, is_write: bool = False
+) -> errors.CodedError:
+    """Returns the error for an answer that the API does not document.
+
+    503 says that nothing was done. Any other server error may come after a
+    write took effect.
+    """
+    status = response.status_code
+    code = errorcodes.STORE_PROTOCOL
+    if status >= httpx.codes.INTERNAL_SERVER_ERROR:
+        code = errorcodes.STORE_UNAVAILABLE
+        if is_write and status != httpx.codes.SERVICE_UNAVAILABLE:
+            code = errorcodes.STORE_OUTCOME_UNKNOWN
+    return errors.CodedError(code, f"the store answered {status}", path)
 
 
 class HttpStore:
@@ -112,9 +121,11 @@
             return None
         return self._stored(path, response)
 
-    def _stored(self, path: str, response: httpx.Response) -> Stored:
+    def _stored(
+        self, path: str, response: httpx.Response, is_write: bool = False
+    ) -> Stored:
         if response.status_code != httpx.codes.OK:
-            raise _unexpected(response, path)
+            raise _unexpected(response, path, is_write)
         with contextlib.suppress(KeyError, ValueError):
             version = int(response.headers["etag"].strip('"'))
             return Stored(path, version, response.content)
@@ -130,7 +141,7 @@
         if response.status_code == httpx.codes.PRECONDITION_FAILED:
             text = f"the version is not {expected}"
             raise errors.CodedError(errorcodes.STORE_CONFLICT, text, path)
-        return self._stored(path, response).version
+        return self._stored(path, response, True).version
 
     async def watch(
         self, path: str, version: int, timeout_s: float
@@ -162,7 +173,7 @@
             text = f"the version is not {expected}"
             raise errors.CodedError(errorcodes.STORE_CONFLICT, text, path)
         if response.status_code != httpx.codes.OK:
-            raise _unexpected(response, path)
+            raise _unexpected(response, path, True)
 
 
 def _condition(expected: int) -> dict[str, str]:
