Add a TCP relay that cuts, holds and delays zones

Ruled out: a fault inside the daemons, because it would test code that does not ship; packet filters, because they are not part of the project's tools.

Change: standins/relay.py listens at the advertised mesh addresses and, once for each zone, in front of the platform. The zone of the source follows from the peer's loopback address. tools/fleet.py runs a fleet through it with fleet(relayed=True).

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -29,6 +29,7 @@
 from rattangauge.net import platform
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLATFORM_ZONE = 0
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 
@@ -98,9 +99,17 @@
 class Fleet:
     """Processes of one local mesh."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Creates a fleet whose settings and logs lie in a folder."""
+    def __init__(self, folder: pathlib.Path, relayed: bool = False) -> None:
+        """Creates a fleet whose settings and logs lie in a folder.
+
+        Args:
+            folder: Folder for settings and logs.
+            relayed: Take mesh and platform traffic through the relay.
+        """
         self._folder = folder
+        self._relay = free_address("127.0.0.1") if relayed else ""
+        self._advertised: dict[str, str] = {}
+        self._platform_urls: dict[int, str] = {}
         self._processes: dict[str, anyio.abc.Process] = {}
         self._workers: dict[str, Worker] = {}
         self._ports: dict[str, Ports] = {}
@@ -153,18 +162,70 @@
             self._workers[worker.name] = worker
             self._ports[worker.name] = ports
 
+    async def start_relay(self) -> None:
+        """Starts the relay, if the fleet uses one, and waits for it."""
+        if self._relay:
+            await self._start("relay", "standins.relay", self._relay)
+            await wait_for_http(f"http://{self._relay}/counters")
+
+    async def _add_route(self, zone: int, target: str, **source: int) -> str:
+        """Adds a route of the relay to a zone; returns where it listens."""
+        listen = free_address(util.parse_address(target).host)
+        route = {"listen": listen, "target": target, "destination": zone}
+        await post_json(f"http://{self._relay}/routes", {**route, **source})
+        return listen
+
+    async def _connect_relay(self, worker: Worker) -> None:
+        """Adds the routes of a worker that the relay does not have yet."""
+        if not self._relay or worker.name in self._advertised:
+            return
+        mesh = self._ports[worker.name].mesh
+        self._advertised[worker.name] = await self._add_route(worker.zone, mesh)
+        if worker.zone not in self._platform_urls:
+            listen = await self._add_route(
+                PLATFORM_ZONE, self.platform_address, source=worker.zone
+            )
+            self._platform_urls[worker.zone] = f"http://{listen}"
+
+    async def set_fault(
+        self, source: int, destination: int, mode: str, delay_s: float = 0.0
+    ) -> None:
+        """Sets the relay's fault between two zones, in one direction.
+
+        Args:
+            source: Zone of the side that opens the connections.
+            destination: Zone of the side that accepts them; 0 is the platform.
+            mode: A value of ``standins.relay.Mode``.
+            delay_s: Delay of each piece, in seconds.
+        """
+        fault = {"source": source, "destination": destination, "mode": mode}
+        url = f"http://{self._relay}/control"
+        await post_json(url, {**fault, "delay_s": delay_s})
+
+    async def set_mutual_fault(self, one: int, other: int, mode: str) -> None:
+        """Sets the relay's fault between two zones, in both directions."""
+        await self.set_fault(one, other, mode)
+        await self.set_fault(other, one, mode)
+
+    async def relay_counters(self) -> Any:
+        """Returns connections and bytes for each pair of zones."""
+        return await self.get_json(f"http://{self._relay}/counters")
+
     def contacts(self) -> list[str]:
         """Returns the first two mesh addresses of each zone."""
         chosen: dict[int, list[str]] = {}
         for name, worker in self._workers.items():
             known = chosen.setdefault(worker.zone, [])
             if len(known) < 2:
-                known.append(self._ports[name].mesh)
+                mesh = self._ports[name].mesh
+                known.append(self._advertised.get(name, mesh))
         return [address for known in chosen.values() for address in known]
 
     async def start_daemon(self, name: str) -> None:
         """Starts the daemon of a worker."""
         worker, ports = self._workers[name], self._ports[name]
+        await self._connect_relay(worker)
+        platform_url = self._platform_urls.get(worker.zone, self.platform_url)
         sections: dict[str, dict[str, Any]] = {
             "instance": {
                 "name": name,
@@ -175,9 +236,10 @@
                 "callers": ports.callers,
                 "mesh": ports.mesh,
                 "operators": ports.operators,
+                "advertise": self._advertised.get(name, ""),
             },
             "mesh": {"contacts": self.contacts()},
-            "platform": {"url": self.platform_url},
+            "platform": {"url": platform_url},
         }
         for section, values in worker.settings.items():
             sections[section] = {**sections.get(section, {}), **values}
@@ -204,6 +266,8 @@
     async def start(self, *workers: Worker) -> None:
         """Plans and starts workers and waits until their daemons answer."""
         self.plan(*workers)
+        for worker in workers:
+            await self._connect_relay(worker)
         for worker in workers:
             await self.start_daemon(worker.name)
             await self.start_upstream(worker.name)
@@ -240,9 +304,7 @@
 
     async def control(self, url: str, **faults: Any) -> None:
         """Sets faults of a stand-in at a base URL."""
-        async with httpx.AsyncClient(timeout=5.0) as client:
-            response = await client.post(f"{url}/control", json=faults)
-            response.raise_for_status()
+        await post_json(f"{url}/control", faults)
 
     async def control_upstream(self, name: str, **faults: Any) -> None:
         """Sets faults of the upstream of a worker."""
@@ -299,6 +361,16 @@
         return False
 
 
+async def post_json(url: str, value: Any) -> None:
+    """Posts JSON to a stand-in.
+
+    Raises:
+        httpx.HTTPError: The stand-in did not accept it.
+    """
+    async with httpx.AsyncClient(timeout=5.0) as client:
+        (await client.post(url, json=value)).raise_for_status()
+
+
 async def wait_until(condition: Any, what: str) -> None:
     """Waits until an asynchronous condition holds.
 
@@ -326,12 +398,17 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet() -> AsyncIterator[Fleet]:
-    """Opens a fleet with a platform; all processes end with the block."""
+async def fleet(relayed: bool = False) -> AsyncIterator[Fleet]:
+    """Opens a fleet with a platform; all processes end with the block.
+
+    Args:
+        relayed: Take mesh and platform traffic through the relay.
+    """
     folder = pathlib.Path(tempfile.mkdtemp(prefix="rattangauge-"))
-    opened = Fleet(folder)
+    opened = Fleet(folder, relayed)
     try:
         await opened.start_platform()
+        await opened.start_relay()
         yield opened
     finally:
         with anyio.CancelScope(shield=True):
