--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -236,11 +236,12 @@
                 "callers": ports.callers,
                 "mesh": ports.mesh,
                 "operators": ports.operators,
-                "advertise": self._advertised.get(name, ""),
             },
             "mesh": {"contacts": self.contacts()},
             "platform": {"url": platform_url},
         }
+        if name in self._advertised:
+            sections["listen"]["advertise"] = self._advertised[name]
         for section, values in worker.settings.items():
             sections[section] = {**sections.get(section, {}), **values}
         path = self._folder / f"{name}.toml"
