Add the chaos run with seeded faults two at a time

Cause: the invariants must hold while daemons die or pause, zones are cut or go silent, and the platform fails, at the same time.

Calls cut off at the end of a run count as unknown, because a request that was sent may still run.

Change: tools/chaos.py runs six daemons in three zones through the relay, with callers, repeats of one key, operators and polls of the status. tools/schedule.py makes and shortens schedules, tools/faults.py applies them.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,12 @@
 
 demo: install
 	$(RUN) tools/demo.py
+
+chaos: install
+	$(RUN) tools/chaos.py --seed $(SEED)
+
+bench: install
+	$(RUN) benchmarks/run.py --seed $(SEED)
+
+bench-quick: install
+	$(RUN) benchmarks/run.py --seed $(SEED) --quick
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -33,6 +33,9 @@
 # The answer is not the whole answer to the caller's own request.
 WRONG = "wrong"
 
+# Errors of a connection or of a time-out.
+FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError)
+
 
 class Call(NamedTuple):
     """What a caller sends.
@@ -234,12 +237,15 @@
                 instance = json.loads(answer.body.rstrip(b"."))["instance"]
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             outcome, detail = NOT_RUN, f"connect: {error!r}"
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            TimeoutError,
-        ) as error:
+        except FAILURES as error:
             outcome, detail = BROKEN, repr(error)
+        except anyio.get_cancelled_exc_class():
+            # A request that was sent may run, so it must not be forgotten.
+            latency_s = anyio.current_time() - started
+            self.recorder.add(
+                Result(token, call, UNKNOWN, latency_s, started, "cancelled")
+            )
+            raise
         latency_s = anyio.current_time() - started
         result = Result(
             token, call, outcome, latency_s, started, detail, instance
--- /dev/null
+++ b/tools/chaos.py
@@ -0,0 +1,252 @@
+"""Runs a mesh of real processes under seeded faults and checks it.
+
+Faults come two at a time while callers send calls and operators publish. After
+each run the history is judged by ``tools.invariants``. If it fails, the
+schedule is shortened within a bound of time and printed with the seed.
+"""
+
+import argparse
+import collections
+import contextlib
+import itertools
+import sys
+
+import anyio
+import httpx
+
+from standins import caller as caller_module
+from tools import faults as faults_module
+from tools import fleet as fleet_module
+from tools import invariants
+from tools import publishing
+from tools import schedule
+
+ZONES = 3
+SERVICES = ("nahravky", "objednavky", "skladby")
+SLOTS = 8
+RATE = 15.0
+POLL_PERIOD_S = 0.25
+STATUS_TIMEOUT_S = 1.0
+REPEATS = 3
+SHORTEN_S = 180.0
+SHOWN_VIOLATIONS = 10
+OBJECTS = fleet_module.ROOT / "examples" / "minimal" / "minimal.toml"
+
+WORKERS = tuple(
+    fleet_module.Worker(
+        f"zone-{number // 2 + 1}-{'ab'[number % 2]}",
+        number // 2 + 1,
+        SERVICES[number % len(SERVICES)],
+    )
+    for number in range(2 * ZONES)
+)
+
+
+class Run:
+    """One run of a schedule."""
+
+    def __init__(self, fleet: fleet_module.Fleet, seed: int) -> None:
+        """Creates a run in a fleet that has started."""
+        self._fleet = fleet
+        objects = publishing.read([OBJECTS])
+        self._operators = faults_module.Operators(fleet, objects)
+        self._addresses = [ports.callers for ports in fleet.ports.values()]
+        self._caller = caller_module.Caller(self._addresses, seed)
+        self._versions: list[invariants.SeenVersion] = []
+        self._started = anyio.current_time()
+
+    async def run(
+        self, faults: tuple[schedule.Fault, ...]
+    ) -> invariants.History:
+        """Runs all faults and returns the history."""
+        await self._operators.publish()
+        await self._fleet.wait_version(1)
+        async with self._caller, anyio.create_task_group() as tasks:
+            background = anyio.CancelScope()
+            tasks.start_soon(self._in_background, background)
+            await self._run_slots(faults)
+            head = await self._heal()
+            background.cancel()
+        return await self._history(head)
+
+    async def _in_background(self, scope: anyio.CancelScope) -> None:
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._poll_all)
+                tasks.start_soon(self._call_all)
+                tasks.start_soon(self._repeat_all)
+
+    async def _run_slots(self, faults: tuple[schedule.Fault, ...]) -> None:
+        runner = faults_module.Faults(self._fleet, self._operators)
+        for slot in sorted({fault.slot for fault in faults}):
+            async with anyio.create_task_group() as tasks:
+                for fault in faults:
+                    if fault.slot == slot:
+                        tasks.start_soon(runner.run, fault)
+                await anyio.sleep(schedule.MIN_LENGTH_S / 2)
+                await self._operators.publish()
+
+    async def _heal(self) -> int:
+        """Waits until all daemons have the head's version; returns it."""
+        await self._operators.publish()
+        head = await self._operators.head_version()
+        with contextlib.suppress(TimeoutError):
+            await self._fleet.wait_version(head)
+        return head
+
+    async def _call_all(self) -> None:
+        calls = []
+        for service in SERVICES:
+            read = caller_module.Call(f"/{service}", size=20_000)
+            calls += [read, read._replace(method="POST", body_bytes=2_000)]
+        await self._caller.run(calls, RATE, duration_s=float("inf"))
+
+    async def _repeat_all(self) -> None:
+        call = caller_module.Call("/objednavky", "POST", body_bytes=10)
+        for address in itertools.cycle(self._addresses):
+            # Every other call has a plain key of the caller's own.
+            await self._caller.repeat(call, REPEATS)
+            with contextlib.suppress(*caller_module.FAILURES):
+                with anyio.fail_after(STATUS_TIMEOUT_S):
+                    key = await caller_module.issue_key(
+                        address, call.method, call.path
+                    )
+                if key:
+                    await self._caller.repeat(call._replace(key=key), REPEATS)
+            await anyio.sleep(0.5)
+
+    async def _poll_all(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for name in self._fleet.workers:
+                tasks.start_soon(self._poll, name)
+
+    async def _poll(self, name: str) -> None:
+        url = f"http://{self._fleet.ports[name].operators}/status"
+        async with httpx.AsyncClient(timeout=STATUS_TIMEOUT_S) as client:
+            while True:
+                with contextlib.suppress(httpx.HTTPError):
+                    status = (await client.get(url)).json()
+                    at_s = anyio.current_time() - self._started
+                    self._versions.append(
+                        invariants.SeenVersion(at_s, name, status["version"])
+                    )
+                await anyio.sleep(POLL_PERIOD_S)
+
+    async def _final(self, name: str) -> int:
+        with contextlib.suppress(httpx.HTTPError):
+            return (await self._fleet.status(name))["version"]
+        return 0
+
+    async def _history(self, head: int) -> invariants.History:
+        runs: collections.Counter[str] = collections.Counter()
+        for name in self._fleet.workers:
+            runs.update((await self._fleet.counters(name))["runs"])
+        calls = tuple(
+            invariants.SeenCall(
+                result.at_s - self._started,
+                result.token,
+                result.call.method != "POST",
+                result.outcome,
+                result.detail,
+            )
+            for result in self._caller.recorder.results
+        )
+        publishes = tuple(
+            seen._replace(at_s=seen.at_s - self._started)
+            for seen in self._operators.accepted
+        )
+        final = {name: await self._final(name) for name in self._fleet.workers}
+        return invariants.History(
+            tuple(self._versions), calls, publishes, runs, final, head
+        )
+
+
+async def run_schedule(
+    seed: int, faults: tuple[schedule.Fault, ...]
+) -> invariants.History:
+    """Runs a schedule in a new fleet and returns the history."""
+    async with fleet_module.fleet(relayed=True) as fleet:
+        await fleet.start(*WORKERS)
+        for service in SERVICES:
+            await fleet.wait_serving(service, 2)
+        return await Run(fleet, seed).run(faults)
+
+
+def describe(history: invariants.History) -> str:
+    """Returns one line about the size of a history."""
+    outcomes = collections.Counter(call.outcome for call in history.calls)
+    counts = ", ".join(f"{n} {name}" for name, n in sorted(outcomes.items()))
+    return (
+        f"{len(history.calls)} calls ({counts}), "
+        f"{len(history.publishes)} publishes, head {history.head}, "
+        f"{len(history.versions)} observations of versions"
+    )
+
+
+def _print_failure(
+    seed: int,
+    faults: tuple[schedule.Fault, ...],
+    violations: list[invariants.Violation],
+) -> None:
+    print(f"seed {seed} fails; shortest history found:")
+    print("\n".join(f"  {fault}" for fault in faults) or "  no fault at all")
+    for violation in violations[:SHOWN_VIOLATIONS]:
+        place = f"{violation.rule} at {violation.at_s:.1f} s"
+        print(f"  {place}: {violation.subject}: {violation.text}")
+    rules = collections.Counter(violation.rule for violation in violations)
+    for rule, count in rules.items():
+        print(f"  {rule}: {count} in all")
+
+
+async def run(options: argparse.Namespace) -> int:
+    """Runs the schedule of a seed and returns the exit code."""
+    seed = options.seed
+    faults = schedule.generate(seed, options.slots, len(WORKERS), ZONES)
+    for fault in faults:
+        print(fault, flush=True)
+    history = await run_schedule(seed, faults)
+    print(describe(history), flush=True)
+    violations = invariants.check(history)
+    if not violations:
+        print(f"seed {seed}: no violation")
+        return 0
+    rules = {violation.rule for violation in violations}
+    end_s = anyio.current_time() + options.shorten_s
+
+    async def fails(shorter: tuple[schedule.Fault, ...]) -> bool:
+        nonlocal violations
+        found = invariants.check(await run_schedule(seed, shorter))
+        if rules.isdisjoint(violation.rule for violation in found):
+            return False
+        violations = found
+        return True
+
+    faults = await schedule.shorten(
+        faults, fails, lambda: anyio.current_time() < end_s
+    )
+    _print_failure(seed, faults, violations)
+    return 1
+
+
+def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
+    """Parses the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--slots", type=int, default=SLOTS)
+    parser.add_argument(
+        "--shorten-s",
+        type=float,
+        default=SHORTEN_S,
+        help="time in which new runs may begin to shorten a failing schedule",
+    )
+    return parser.parse_args(arguments)
+
+
+def main() -> None:
+    """Runs the command line."""
+    options = parse_arguments()
+    sys.exit(anyio.run(run, options, backend_options={"use_uvloop": True}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,181 @@
+"""Starts and heals the faults of a schedule in a fleet."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import signal
+
+import anyio
+
+from rattangauge import errors
+from rattangauge.config import edition as edition_module
+from rattangauge.config import head as head_module
+from rattangauge.config import objects as objects_module
+from rattangauge.generated import objects as generated
+from rattangauge.net import platform
+from tools import fleet as fleet_module
+from tools import invariants
+from tools import schedule
+
+DELAY_S = 0.2
+PLATFORM_DELAY_S = 1.5
+SLOW_FACTOR = 20.0
+STORE_TIMEOUT_S = 3.0
+
+
+class Operators:
+    """Operators who publish, and what the store accepted."""
+
+    def __init__(
+        self, fleet: fleet_module.Fleet, objects: objects_module.ObjectSet
+    ) -> None:
+        """Creates operators who vary one set of objects."""
+        self._fleet = fleet
+        self._objects = objects
+        self._numbers = 0
+        self.accepted: list[invariants.SeenPublish] = []
+
+    async def head_version(self) -> int:
+        """Returns the version of the store's head; 0 if there is none.
+
+        Raises:
+            errors.CodedError: The store does not answer.
+        """
+        url = self._fleet.platform_url
+        async with platform.open_client(url, STORE_TIMEOUT_S) as client:
+            stored = await platform.HttpStore(client).get(head_module.PATH)
+        return head_module.parse(stored.data).version if stored else 0
+
+    def _next_objects(self) -> objects_module.ObjectSet:
+        self._numbers += 1
+        name = f"publish-{self._numbers}"
+        policies = {
+            **self._objects["policy"],
+            name: generated.Policy(name, timeout_ms=self._numbers),
+        }
+        return {**self._objects, "policy": policies}
+
+    async def publish(self, version: int = 0) -> None:
+        """Publishes another set; a store that refuses is no fault here.
+
+        Args:
+            version: Version to make; the one after the head if 0.
+        """
+        objects = self._next_objects()
+        digest = edition_module.digest_of(edition_module.encode(objects))
+        with contextlib.suppress(errors.CodedError):
+            version = version or await self.head_version() + 1
+            url = self._fleet.platform_url
+            await fleet_module.put_edition(url, version, objects)
+            seen = invariants.SeenPublish(anyio.current_time(), version, digest)
+            self.accepted.append(seen)
+
+    async def race(self) -> None:
+        """Lets two operators publish the same version at the same time."""
+        with contextlib.suppress(errors.CodedError):
+            version = await self.head_version() + 1
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.publish, version)
+                tasks.start_soon(self.publish, version)
+
+
+Action = Callable[[], Awaitable[None]]
+
+
+async def _nothing() -> None:
+    pass
+
+
+class Faults:
+    """Actions that start and heal each kind of fault."""
+
+    def __init__(self, fleet: fleet_module.Fleet, operators: Operators) -> None:
+        """Creates the actions for a fleet that runs through the relay."""
+        self._fleet = fleet
+        self._operators = operators
+
+    async def run(self, fault: schedule.Fault) -> None:
+        """Starts a fault, waits its length and heals it."""
+        start, heal = self._actions(fault)
+        await start()
+        try:
+            await anyio.sleep(fault.length_s)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await heal()
+
+    def _actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
+        if fault.kind in schedule.DAEMON_KINDS:
+            return self._daemon_actions(fault)
+        if fault.kind in schedule.ZONE_KINDS:
+            return self._zone_actions(fault)
+        if fault.kind in schedule.PLATFORM_KINDS:
+            return self._platform_actions(fault)
+        if fault.kind == "operators_race":
+            return self._operators.race, _nothing
+        return self._upstream_actions(fault)
+
+    def _name(self, fault: schedule.Fault) -> str:
+        return list(self._fleet.workers)[fault.target]
+
+    def _daemon_actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
+        name = self._name(fault)
+        if fault.kind == "kill":
+            return (
+                lambda: self._fleet.kill(name),
+                lambda: self._fleet.start_daemon(name),
+            )
+
+        async def stop() -> None:
+            self._fleet.signal(name, signal.SIGSTOP)
+
+        async def resume() -> None:
+            self._fleet.signal(name, signal.SIGCONT)
+
+        return stop, resume
+
+    def _zone_actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
+        one, other = fault.target, fault.other
+        if fault.kind == "delay":
+            return (
+                lambda: self._fleet.set_fault(one, other, "pass", DELAY_S),
+                lambda: self._fleet.set_fault(one, other, "pass"),
+            )
+        return (
+            lambda: self._fleet.set_mutual_fault(one, other, fault.kind),
+            lambda: self._fleet.set_mutual_fault(one, other, "pass"),
+        )
+
+    def _platform_actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
+        url = self._fleet.platform_url
+        if fault.kind == "platform_cut":
+            place = (fault.target, fleet_module.PLATFORM_ZONE)
+            return (
+                lambda: self._fleet.set_fault(*place, "cut"),
+                lambda: self._fleet.set_fault(*place, "pass"),
+            )
+        broken, sound = {
+            "platform_down": ({"down": True}, {"down": False}),
+            "platform_slow": ({"delay_s": PLATFORM_DELAY_S}, {"delay_s": 0}),
+            "platform_lose_replies": ({"lose_replies": 3}, {"lose_replies": 0}),
+        }[fault.kind]
+
+        async def start() -> None:
+            await self._fleet.control(url, **broken)
+            await self._operators.publish()
+
+        return start, lambda: self._fleet.control(url, **sound)
+
+    def _upstream_actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
+        name = self._name(fault)
+        broken, sound = {
+            "upstream_slow": (
+                {"slow_factor": SLOW_FACTOR},
+                {"slow_factor": 1.0},
+            ),
+            "upstream_drop_answers": ({"drop_answers": 5}, {"drop_answers": 0}),
+        }[fault.kind]
+        return (
+            lambda: self._fleet.control_upstream(name, **broken),
+            lambda: self._fleet.control_upstream(name, **sound),
+        )
