--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and their bounds."""
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -29,7 +29,8 @@
 STATUS_TIMEOUT_S = 1.0
 REPEATS = 3
 SHORTEN_S = 180.0
-SHOWN_VIOLATIONS = 10
+SHOWN_VIOLATIONS = 4
+SHOWN_LINES = 12
 OBJECTS = fleet_module.ROOT / "examples" / "minimal" / "minimal.toml"
 
 WORKERS = tuple(
@@ -156,6 +157,11 @@
             for seen in self._operators.accepted
         )
         final = {name: await self._final(name) for name in self._fleet.workers}
+        for name, version in final.items():
+            if version != head:
+                lines = self._fleet.log_text(name).splitlines()
+                print(f"last log lines of {name}:")
+                print("\n".join(lines[-SHOWN_LINES:]), flush=True)
         return invariants.History(
             tuple(self._versions), calls, publishes, runs, final, head
         )
@@ -190,12 +196,11 @@
 ) -> None:
     print(f"seed {seed} fails; shortest history found:")
     print("\n".join(f"  {fault}" for fault in faults) or "  no fault at all")
-    for violation in violations[:SHOWN_VIOLATIONS]:
-        place = f"{violation.rule} at {violation.at_s:.1f} s"
-        print(f"  {place}: {violation.subject}: {violation.text}")
-    rules = collections.Counter(violation.rule for violation in violations)
-    for rule, count in rules.items():
-        print(f"  {rule}: {count} in all")
+    for rule in sorted({violation.rule for violation in violations}):
+        found = [one for one in violations if one.rule == rule]
+        print(f"  {rule}: {len(found)} violations, the first ones:")
+        for _, at_s, subject, text in found[:SHOWN_VIOLATIONS]:
+            print(f"    at {at_s:.1f} s: {subject}: {text}")
 
 
 async def run(options: argparse.Namespace) -> int:
