Keep a daemon alive when a mesh connection breaks while it sends

An answer is sent inside a task group, so the error left the stream inside an exception group, which the handler of CodedError does not catch, and it ended the whole daemon. A ping on a connection that had ended did the same.

Ruled out: a fault of one kind of call; any broken connection with an answer under way is enough.

Change: a stream that fails is logged and ended alone, and a failed ping is left to the receiving side. put_edition can refuse a version that the head has reached, which the operators of the chaos run use. A daemon that ends though nobody killed it is a violation of its own.

--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -270,6 +270,8 @@
             await self._handler(stream, message)
         except errors.CodedError as error:
             loguru.logger.debug("stream {} ended: {}", stream.number, error)
+        except Exception:  # one stream must not end the daemon
+            loguru.logger.exception("stream {} failed", stream.number)
         finally:
             stream.discard()
 
@@ -291,7 +293,9 @@
             if self._awaited_since is None:
                 self._awaited_since = now
             with anyio.move_on_after(self._silence_s / 4):
-                await self.send(0, messages.LinkPing(sequence))
+                # The receiving side reports a connection that has ended.
+                with contextlib.suppress(errors.CodedError):
+                    await self.send(0, messages.LinkPing(sequence))
 
     def _fail(self, error: errors.CodedError) -> None:
         if self._error is None:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -66,6 +66,7 @@
             "lost_publishes",
             {"publishes": (*SOUND.publishes, PUBLISH(2.0, 3, "d3"))},
         ),
+        ("daemons_died", {"died": ("a",)}),
         ("not_converged", {"final": {"a": 2, "b": 1}}),
         ("not_converged", {"final": {"a": 2, "b": 0}}),
     ],
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -51,6 +51,7 @@
         self._fleet = fleet
         objects = publishing.read([OBJECTS])
         self._operators = faults_module.Operators(fleet, objects)
+        self._faults = faults_module.Faults(fleet, self._operators)
         self._addresses = [ports.callers for ports in fleet.ports.values()]
         self._caller = caller_module.Caller(self._addresses, seed)
         self._versions: list[invariants.SeenVersion] = []
@@ -78,12 +79,11 @@
                 tasks.start_soon(self._repeat_all)
 
     async def _run_slots(self, faults: tuple[schedule.Fault, ...]) -> None:
-        runner = faults_module.Faults(self._fleet, self._operators)
         for slot in sorted({fault.slot for fault in faults}):
             async with anyio.create_task_group() as tasks:
                 for fault in faults:
                     if fault.slot == slot:
-                        tasks.start_soon(runner.run, fault)
+                        tasks.start_soon(self._faults.run, fault)
                 await anyio.sleep(schedule.MIN_LENGTH_S / 2)
                 await self._operators.publish()
 
@@ -159,11 +159,15 @@
         final = {name: await self._final(name) for name in self._fleet.workers}
         for name, version in final.items():
             if version != head:
-                lines = self._fleet.log_text(name).splitlines()
-                print(f"last log lines of {name}:")
-                print("\n".join(lines[-SHOWN_LINES:]), flush=True)
+                _print_errors(name, self._fleet.log_text(name))
         return invariants.History(
-            tuple(self._versions), calls, publishes, runs, final, head
+            tuple(self._versions),
+            calls,
+            publishes,
+            runs,
+            final,
+            head,
+            self._faults.died,
         )
 
 
@@ -178,6 +182,13 @@
         return await Run(fleet, seed).run(faults)
 
 
+def _print_errors(name: str, text: str) -> None:
+    """Prints the last lines of a log that name an error."""
+    lines = [line for line in text.splitlines() if "Error" in line]
+    print(f"last errors in the log of {name}:")
+    print("\n".join(lines[-SHOWN_LINES:]), flush=True)
+
+
 def describe(history: invariants.History) -> str:
     """Returns one line about the size of a history."""
     outcomes = collections.Counter(call.outcome for call in history.calls)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -66,7 +66,7 @@
         with contextlib.suppress(errors.CodedError):
             version = version or await self.head_version() + 1
             url = self._fleet.platform_url
-            await fleet_module.put_edition(url, version, objects)
+            await fleet_module.put_edition(url, version, objects, True)
             seen = invariants.SeenPublish(anyio.current_time(), version, digest)
             self.accepted.append(seen)
 
@@ -93,6 +93,7 @@
         """Creates the actions for a fleet that runs through the relay."""
         self._fleet = fleet
         self._operators = operators
+        self._died: set[str] = set()
 
     async def run(self, fault: schedule.Fault) -> None:
         """Starts a fault, waits its length and heals it."""
@@ -115,6 +116,28 @@
             return self._operators.race, _nothing
         return self._upstream_actions(fault)
 
+    @property
+    def died(self) -> tuple[str, ...]:
+        """Daemons that ended without being killed."""
+        return tuple(sorted(self._died | self._find_died()))
+
+    def _find_died(self) -> set[str]:
+        processes = self._fleet.processes
+        return {
+            name
+            for name in self._fleet.workers
+            if name in processes and processes[name].returncode is not None
+        }
+
+    async def _kill(self, name: str) -> None:
+        self._died |= self._find_died()
+        await self._fleet.kill(name)
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        # A daemon that has ended is reported at the end of the run.
+        with contextlib.suppress(ProcessLookupError):
+            self._fleet.signal(name, number)
+
     def _name(self, fault: schedule.Fault) -> str:
         return list(self._fleet.workers)[fault.target]
 
@@ -122,15 +145,15 @@
         name = self._name(fault)
         if fault.kind == "kill":
             return (
-                lambda: self._fleet.kill(name),
+                lambda: self._kill(name),
                 lambda: self._fleet.start_daemon(name),
             )
 
         async def stop() -> None:
-            self._fleet.signal(name, signal.SIGSTOP)
+            self._signal(name, signal.SIGSTOP)
 
         async def resume() -> None:
-            self._fleet.signal(name, signal.SIGCONT)
+            self._signal(name, signal.SIGCONT)
 
         return stop, resume
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -22,10 +22,12 @@
 import anyio.abc
 import httpx
 
+from rattangauge import errors
 from rattangauge import util
 from rattangauge.config import edition as edition_module
 from rattangauge.config import head as head_module
 from rattangauge.config import objects as objects_module
+from rattangauge.generated import errorcodes
 from rattangauge.net import platform
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -282,7 +284,8 @@
 
     async def kill(self, name: str) -> None:
         """Kills a process and waits for its end."""
-        self.signal(name, signal.SIGKILL)
+        with contextlib.suppress(ProcessLookupError):
+            self.signal(name, signal.SIGKILL)
         await self._processes.pop(name).wait()
 
     async def stop(self, name: str) -> int:
@@ -418,9 +421,23 @@
 
 
 async def put_edition(
-    url: str, version: int, objects: objects_module.ObjectSet
+    url: str,
+    version: int,
+    objects: objects_module.ObjectSet,
+    only_newer: bool = False,
 ) -> None:
-    """Writes an edition to the store without checking it."""
+    """Writes an edition to the store without checking it.
+
+    Args:
+        url: Base URL of the store.
+        version: Version to write.
+        objects: Objects of the edition.
+        only_newer: Refuse a version that the head has already reached.
+
+    Raises:
+        errors.CodedError: ``store.conflict`` if the head was changed or is not
+            older, or another error of the store.
+    """
     data = edition_module.encode(objects)
     digest = edition_module.digest_of(data)
     parts = edition_module.split(data)
@@ -435,6 +452,13 @@
             if await store.get(path) is None:
                 await store.put(path, part, 0)
         old = await store.get(head_module.PATH)
+        if (
+            only_newer
+            and old
+            and head_module.parse(old.data).version >= version
+        ):
+            text = f"the head has reached version {version}"
+            raise errors.CodedError(errorcodes.STORE_CONFLICT, text)
         head = head_module.Head(version, digest, digests, "", (entry,))
         data = head_module.format_head(head)
         expected = old.version if old else 0
--- a/tools/invariants.py
+++ b/tools/invariants.py
@@ -56,6 +56,7 @@
         runs: Times that each token ran, over all upstreams.
         final: Version of each daemon after healing.
         head: Version of the store's head after healing.
+        died: Daemons that ended without being killed.
     """
 
     versions: tuple[SeenVersion, ...] = ()
@@ -64,6 +65,7 @@
     runs: Mapping[str, int] = {}
     final: Mapping[str, int] = {}
     head: int = 0
+    died: tuple[str, ...] = ()
 
 
 class Violation(NamedTuple):
@@ -196,6 +198,14 @@
     ]
 
 
+def daemons_died(died: Iterable[str]) -> list[Violation]:
+    """Finds daemons that ended though nobody killed them."""
+    return [
+        Violation("daemons_died", AT_END_S, name, "the process has ended")
+        for name in died
+    ]
+
+
 def check(history: History) -> list[Violation]:
     """Returns all violations of a run, the earliest one first."""
     found = [
@@ -206,6 +216,7 @@
         *answered_but_not_run(history.calls, history.runs),
         *forked_versions(history.publishes),
         *lost_publishes(history),
+        *daemons_died(history.died),
         *not_converged(history.final, history.head),
     ]
     return sorted(found, key=lambda violation: violation.at_s)
