Report a platform that resets connections as unavailable

With uvloop, a connection that is reset while it is set up has no socket any more, and httpcore then raises AttributeError ('NoneType' object has no attribute 'getpeername'), which ended the daemon. Of 300 requests to a listener that resets every connection, 11 did so.

Ruled out: connect_tcp itself; 300 of 300 such connections raised BrokenResourceError there.

Change: the store's adapter treats the error like a broken connection; a write's outcome counts as unknown.

The HTTP client towards upstreams can raise the same error and is not changed here.

--- a/rattangauge/net/platform.py
+++ b/rattangauge/net/platform.py
@@ -95,8 +95,10 @@
             raise errors.CodedError(
                 errorcodes.STORE_UNAVAILABLE, repr(error), path
             ) from error
-        except httpx.HTTPError as error:
-            # The request was sent, so a write may have taken effect.
+        except (httpx.HTTPError, AttributeError) as error:
+            # With uvloop, httpcore raises AttributeError for a connection that
+            # is reset while it is set up. In all other cases the request was
+            # sent, so a write may have taken effect.
             is_write = method in ("PUT", "DELETE")
             code = (
                 errorcodes.STORE_OUTCOME_UNKNOWN
