Let callers of the chaos run read nothing and send half a body

Cause: a daemon must outlive such callers while other faults are in force.

Change: one task alternates both over all daemons.

--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -28,6 +28,8 @@
 POLL_PERIOD_S = 0.25
 STATUS_TIMEOUT_S = 1.0
 REPEATS = 3
+UPSET_BYTES = 2_000_000
+UPSET_HOLD_S = 1.0
 SHORTEN_S = 180.0
 SHOWN_VIOLATIONS = 4
 SHOWN_LINES = 12
@@ -77,6 +79,7 @@
                 tasks.start_soon(self._poll_all)
                 tasks.start_soon(self._call_all)
                 tasks.start_soon(self._repeat_all)
+                tasks.start_soon(self._upset_all)
 
     async def _run_slots(self, faults: tuple[schedule.Fault, ...]) -> None:
         for slot in sorted({fault.slot for fault in faults}):
@@ -116,6 +119,18 @@
                     await self._caller.repeat(call._replace(key=key), REPEATS)
             await anyio.sleep(0.5)
 
+    async def _upset_all(self) -> None:
+        """Sends calls that read nothing or end inside their bodies."""
+        modes = (caller_module.read_nothing, caller_module.send_half)
+        for address, send in zip(
+            itertools.cycle(self._addresses),
+            itertools.cycle(modes),
+            strict=False,
+        ):
+            with contextlib.suppress(OSError, anyio.BrokenResourceError):
+                with anyio.move_on_after(2 * UPSET_HOLD_S):
+                    await send(address, "/nahravky", UPSET_BYTES, UPSET_HOLD_S)
+
     async def _poll_all(self) -> None:
         async with anyio.create_task_group() as tasks:
             for name in self._fleet.workers:
