Settle calls on silent, crossed and cut connections

Cause: an answer was matched by stream only when it was an AnswerOpen, a repeated CallOpen on an ended stream ran the call again, a one-way silent connection with incoming bytes was never found, a body cut off by the sender looked the same as one that was still under way, and an error of a handler ended all streams of its connection.

AnswerFailed is checked against the call id as AnswerOpen is. The remaining deadline goes to the upstream as rattangauge-deadline-ms.

--- a/rattangauge/calls/exchange.py
+++ b/rattangauge/calls/exchange.py
@@ -78,3 +78,16 @@
         message,
         messages.Outcome.UNKNOWN,
     )
+
+
+async def sent_body(body: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yields the body of a call whose head has been sent.
+
+    Raises:
+        CallFailed: The body is cut off; the call may have run.
+    """
+    try:
+        async for piece in body:
+            yield piece
+    except CallFailed as error:
+        raise unknown(error.message, error.code) from error
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import anyio
+import loguru
 
 from rattangauge import errors
 from rattangauge.calls import exchange
@@ -14,6 +15,25 @@
 CANCEL_TIMEOUT_S = 1.0
 
 
+class LinkLost(exchange.CallFailed):
+    """The connection ended before the call had a whole answer.
+
+    Attributes:
+        sent: Whether the other daemon may have received the call.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        """Creates the failure."""
+        if sent:
+            code = errorcodes.CALL_OUTCOME_UNKNOWN
+            outcome = messages.Outcome.UNKNOWN
+        else:
+            code = errorcodes.CALL_NO_UPSTREAM
+            outcome = messages.Outcome.NOT_RUN
+        super().__init__(code, message, outcome)
+        self.sent = sent
+
+
 async def forward(
     links: links_module.Links,
     address: str,
@@ -23,7 +43,8 @@
     """Passes a call to the daemon at an address and its answer back.
 
     Raises:
-        exchange.CallFailed: There is no whole answer.
+        exchange.CallFailed: There is no whole answer; ``LinkLost`` if the
+            connection is the cause.
     """
     is_long = request.open.call_class == messages.CallClass.LONG
     opener = (
@@ -31,23 +52,23 @@
         if is_long
         else links.stream(address, "calls")
     )
-    begun = False
+    sent = False
     remaining = request.deadline - anyio.current_time()
     try:
         with anyio.fail_after(remaining):
             async with opener as stream:
-                begun = True
-                await _exchange(stream, request, respond)
+                try:
+                    await _exchange(stream, request, respond)
+                finally:
+                    sent = stream.is_sent
+    except exchange.CallFailed:
+        raise
     except errors.CodedError as error:
-        if isinstance(error, exchange.CallFailed):
-            raise
-        if not begun:
-            raise exchange.not_run(
-                errorcodes.CALL_NO_UPSTREAM, str(error)
-            ) from error
-        raise exchange.unknown(str(error)) from error
+        raise LinkLost(str(error), sent) from error
     except TimeoutError as error:
         text = "the deadline passed while the call ran"
+        if not sent:
+            raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
         raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
 
 
@@ -67,10 +88,10 @@
             await _receive_answer(stream, request, respond)
             finished = True
             tasks.cancel_scope.cancel()
-    except* errors.CodedError as group:
+    except BaseExceptionGroup as group:
         raise _first(group) from group
     finally:
-        if not finished:
+        if not finished and stream.is_sent:
             with contextlib.suppress(errors.CodedError):
                 with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
                     await stream.send(messages.CallCancel("cancelled"))
@@ -86,31 +107,41 @@
 async def _send_body(
     stream: links_module.Stream, body: AsyncIterator[bytes]
 ) -> None:
-    async for piece in body:
+    async for piece in exchange.sent_body(body):
         await stream.send_data(messages.CallData, piece, False)
     await stream.send_data(messages.CallData, b"", True)
 
 
+def _check_call(
+    message: messages.AnswerOpen | messages.AnswerFailed, call_id: str
+) -> None:
+    if message.call_id != call_id:
+        text = f"an answer to call {message.call_id} came for {call_id}"
+        raise exchange.unknown(text, errorcodes.CALL_CROSSED)
+
+
 async def _receive_answer(
     stream: links_module.Stream,
     request: exchange.Request,
     respond: exchange.Respond,
 ) -> None:
+    call_id = request.open.call_id
     message = await stream.receive()
     if isinstance(message, messages.AnswerFailed):
+        _check_call(message, call_id)
         raise _failure(message)
     if not isinstance(message, messages.AnswerOpen):
-        text = f"unexpected {type(message).__name__}"
-        raise errors.CodedError(errorcodes.FRAME_UNEXPECTED, text)
-    if message.call_id != request.open.call_id:
-        text = f"an answer to {message.call_id} came for"
-        raise exchange.unknown(
-            f"{text} {request.open.call_id}", errorcodes.CALL_CROSSED
-        )
-    body = None if message.last else _answer_body(stream)
+        raise _unexpected(message)
+    _check_call(message, call_id)
+    body = None if message.last else _answer_body(stream, call_id)
     await respond(exchange.Response(message, body))
 
 
+def _unexpected(message: messages.Message) -> exchange.CallFailed:
+    text = f"{type(message).__name__} came in place of an answer"
+    return exchange.unknown(text, errorcodes.FRAME_UNEXPECTED)
+
+
 def _failure(message: messages.AnswerFailed) -> exchange.CallFailed:
     return exchange.CallFailed(
         message.code,
@@ -122,20 +153,69 @@
     )
 
 
-async def _answer_body(stream: links_module.Stream) -> AsyncIterator[bytes]:
+async def _answer_body(
+    stream: links_module.Stream, call_id: str
+) -> AsyncIterator[bytes]:
     while True:
         message = await stream.receive()
         if isinstance(message, messages.AnswerFailed):
+            _check_call(message, call_id)
             raise _failure(message)
         if not isinstance(message, messages.AnswerData):
-            text = f"unexpected {type(message).__name__}"
-            raise errors.CodedError(errorcodes.FRAME_UNEXPECTED, text)
+            raise _unexpected(message)
         if message.body:
             yield message.body
         if message.last:
             return
 
 
+class _Incoming:
+    """The body of a call that another daemon sends."""
+
+    def __init__(self, stream: links_module.Stream, whole: bool) -> None:
+        self._stream = stream
+        self._whole = whole
+        self._sender, self._receiver = anyio.create_memory_object_stream[bytes](
+            0
+        )
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yields the pieces of the body.
+
+        Raises:
+            exchange.CallFailed: The body ended before its last piece.
+        """
+        async for piece in self._receiver:
+            yield piece
+        if not self._whole:
+            text = "the request ended inside its body"
+            raise exchange.unknown(text, errorcodes.CALL_CANCELLED)
+
+    async def receive(self, cancelled: anyio.CancelScope) -> None:
+        """Receives the body, then waits for the cancellation of the call."""
+        try:
+            while await self._receive_one():
+                pass
+        except errors.CodedError as error:
+            loguru.logger.debug("a call is cut off: {}", error)
+        finally:
+            self._sender.close()
+        cancelled.cancel()
+
+    async def _receive_one(self) -> bool:
+        message = await self._stream.receive()
+        if not isinstance(message, messages.CallData) or self._whole:
+            return False
+        if message.body:
+            # A handler that has ended needs no more of the body.
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await self._sender.send(message.body)
+        if message.last:
+            self._whole = True
+            self._sender.close()
+        return True
+
+
 async def serve(
     stream: links_module.Stream,
     opened: messages.CallOpen,
@@ -144,8 +224,8 @@
     """Runs a call that another daemon sent and sends the answer."""
     deadline = anyio.current_time() + opened.deadline_ms / 1000
     cancelled = anyio.CancelScope()
-    pieces_in, pieces_out = anyio.create_memory_object_stream[bytes](0)
-    body = None if opened.last else pieces_out
+    incoming = _Incoming(stream, opened.last)
+    body = None if opened.last else incoming.pieces()
     request = exchange.Request(opened, body, deadline)
 
     async def respond(response: exchange.Response) -> None:
@@ -156,38 +236,30 @@
             await stream.send_data(messages.AnswerData, b"", True)
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_receive_call, stream, opened, pieces_in, cancelled)
+        tasks.start_soon(incoming.receive, cancelled)
         with cancelled:
-            try:
-                await handler(request, respond)
-            except exchange.CallFailed as failure:
+            failure = await _failure_of(handler, request, respond)
+            if failure is not None:
                 await stream.send(_refusal(opened, failure))
         tasks.cancel_scope.cancel()
 
 
-async def _receive_call(
-    stream: links_module.Stream,
-    opened: messages.CallOpen,
-    pieces: anyio.abc.ObjectSendStream[bytes],
-    cancelled: anyio.CancelScope,
-) -> None:
-    """Receives the body of a call, then waits for its cancellation."""
-    last = opened.last
+async def _failure_of(
+    handler: exchange.Handler,
+    request: exchange.Request,
+    respond: exchange.Respond,
+) -> exchange.CallFailed | None:
+    """Runs a call; returns what the sender must be told, if it failed."""
     try:
-        while True:
-            message = await stream.receive()
-            if isinstance(message, messages.CallCancel):
-                break
-            if not isinstance(message, messages.CallData) or last:
-                break
-            if message.body:
-                await pieces.send(message.body)
-            if message.last:
-                last = True
-                await pieces.aclose()
-    except (errors.CodedError, anyio.BrokenResourceError):
-        pass
-    cancelled.cancel()
+        await handler(request, respond)
+    except exchange.CallFailed as failure:
+        return failure
+    except errors.CodedError as error:
+        return exchange.unknown(str(error))
+    except Exception as error:  # the sender must not wait for an answer
+        loguru.logger.exception("call {} failed", request.open.call_id)
+        return exchange.unknown(repr(error))
+    return None
 
 
 def _refusal(
--- a/rattangauge/net/upstream.py
+++ b/rattangauge/net/upstream.py
@@ -17,6 +17,8 @@
 # An upstream that answers with this header did not run the call.
 OUTCOME_HEADER = b"rattangauge-outcome"
 NOT_RUN = b"not-run"
+# Time that the upstream has left for the call, in milliseconds.
+DEADLINE_HEADER = b"rattangauge-deadline-ms"
 
 _HOP_HEADERS = frozenset(
     (
@@ -118,14 +120,18 @@
 async def _whole_body(request: exchange.Request) -> AsyncIterator[bytes]:
     yield request.open.body
     assert request.body is not None
-    async for piece in request.body:
+    async for piece in exchange.sent_body(request.body):
         yield piece
 
 
 def _request_headers(
     request: exchange.Request, address: util.Address
 ) -> list[tuple[bytes, bytes]]:
-    headers = [(b"host", str(address).encode())]
+    remaining = request.deadline - anyio.current_time()
+    headers = [
+        (b"host", str(address).encode()),
+        (DEADLINE_HEADER, b"%d" % max(1, int(remaining * 1000))),
+    ]
     length = None
     for header in request.open.headers:
         if header.name == b"content-length":
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,123 @@
+"""A scripted daemon for tests: it answers with whatever a test says."""
+
+import contextlib
+
+import anyio
+from anyio.streams import buffered
+
+from rattangauge import settings as settings_module
+from rattangauge.calls import exchange
+from rattangauge.generated import messages
+from rattangauge.generated import settings as generated
+from rattangauge.net import frames
+from rattangauge.net import links
+
+
+def settings(**mesh):
+    """Returns settings of a daemon on loopback."""
+    fields = {"silence_s": 0.4, **mesh}
+    return settings_module.Settings(
+        instance=generated.Instance("a", "zone-1", "sk-west"),
+        listen=generated.Listen(
+            callers="127.0.0.1:0", mesh="127.0.0.1:0", operators="127.0.0.1:0"
+        ),
+        mesh=generated.Mesh(**fields),
+        platform=generated.Platform("http://127.0.0.1:1"),
+        calls=generated.Calls(),
+        shutdown=generated.Shutdown(),
+        log=generated.Log(),
+    )
+
+
+class Peer:
+    """The far end of one connection, frame by frame."""
+
+    def __init__(self, stream):
+        """Wraps the stream of a connection."""
+        self._stream = stream
+        self._source = buffered.BufferedByteReceiveStream(stream)
+
+    async def send(self, number, message):
+        """Sends one frame."""
+        await self._stream.send(frames.pack(number, message))
+
+    async def send_bytes(self, data):
+        """Sends bytes that need not be a frame."""
+        await self._stream.send(data)
+
+    async def receive(self, *kinds):
+        """Returns the next frame of the kinds; answers pings on the way."""
+        while (frame := await frames.read(self._source)) is not None:
+            number, message = frame
+            if isinstance(message, messages.LinkPing):
+                await self.send(0, messages.LinkPong(message.sequence))
+            elif not kinds or isinstance(message, kinds):
+                return number, message
+        return None, None
+
+    async def close(self):
+        """Closes the connection."""
+        await self._stream.aclose()
+
+
+@contextlib.asynccontextmanager
+async def scripted(script):
+    """Runs ``script(peer)`` for each connection; yields the address."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+
+    async def serve(stream):
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await script(Peer(stream))
+            # The connection stays open, as a black hole does.
+            await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        yield f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+@contextlib.asynccontextmanager
+async def pool(**mesh):
+    """Opens outgoing connections of a daemon."""
+    async with anyio.create_task_group() as tasks:
+        yield links.Links(settings(**mesh), tasks)
+        tasks.cancel_scope.cancel()
+
+
+def request(call_id="c1", timeout_s=10.0, body=None, **fields):
+    """Returns a call with a deadline."""
+    opened = messages.CallOpen(
+        call_id=call_id,
+        service="skladby",
+        method="POST",
+        target="/skladby",
+        deadline_ms=int(timeout_s * 1000),
+        last=body is None,
+        **fields,
+    )
+    return exchange.Request(opened, body, anyio.current_time() + timeout_s)
+
+
+class Answers:
+    """Collects the bodies of answers by call."""
+
+    def __init__(self):
+        """Creates an empty collection."""
+        self.bodies = {}
+        self.whole = {}
+
+    def respond(self, call_id):
+        """Returns what takes the answer of a call."""
+
+        async def respond(response):
+            assert response.open.call_id == call_id
+            self.bodies[call_id] = response.open.body
+            if response.body is not None:
+                async for piece in response.body:
+                    self.bodies[call_id] += piece
+            self.whole[call_id] = self.bodies[call_id]
+
+        return respond
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,283 @@
+"""Calls between daemons over connections that misbehave."""
+
+import contextlib
+import random
+
+import anyio
+import pytest
+
+from rattangauge import errors
+from rattangauge.calls import exchange
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.net import connections
+from rattangauge.net import forward
+from rattangauge.net import links as links_module
+from tests import peers
+
+pytestmark = pytest.mark.anyio
+NOT_RUN = messages.Outcome.NOT_RUN
+UNKNOWN = messages.Outcome.UNKNOWN
+
+
+async def failure_of(links, address, request, respond=None):
+    respond = respond or peers.Answers().respond(request.open.call_id)
+    with pytest.raises(exchange.CallFailed) as caught, anyio.fail_after(30):
+        await forward.forward(links, address, request, respond)
+    return caught.value
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_crossed_late_and_repeated_answers(seed):
+    """Guards against a caller that gets the answer of another call."""
+    chooser = random.Random(seed)
+    count = 12
+
+    async def script(peer):
+        calls = [await peer.receive(messages.CallOpen) for _ in range(count)]
+        chooser.shuffle(calls)
+        sent = []
+        for index, (number, opened) in enumerate(calls):
+            body = opened.call_id.encode()
+            answer = messages.AnswerOpen(opened.call_id, 200, body=body)
+            answer = answer._replace(last=True)
+            if index % 4 == 3:
+                # The answer crosses over to the stream of another call.
+                other = calls[(index + 1) % count][1].call_id
+                answer = answer._replace(call_id=other, body=other.encode())
+            sent.append((number, answer))
+            await peer.send(number, answer)
+            await peer.send(*chooser.choice(sent))
+
+    answers = peers.Answers()
+    failures = {}
+
+    async def call(links, address, call_id):
+        request = peers.request(call_id)
+        try:
+            respond = answers.respond(call_id)
+            await forward.forward(links, address, request, respond)
+        except exchange.CallFailed as error:
+            failures[call_id] = error
+
+    async with peers.scripted(script) as address, peers.pool() as links:
+        with anyio.fail_after(30):
+            async with anyio.create_task_group() as tasks:
+                for n in range(count):
+                    tasks.start_soon(call, links, address, f"c{n}")
+    assert answers.whole == {name: name.encode() for name in answers.whole}
+    assert len(failures) == 3
+    assert {f.code for f in failures.values()} == {errorcodes.CALL_CROSSED}
+    assert {f.outcome for f in failures.values()} == {UNKNOWN}
+
+
+async def test_second_head_of_an_answer():
+    """Guards against two answers that are joined into one."""
+
+    async def script(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+        await peer.send(number, messages.AnswerData(b"one", False))
+        await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+        await peer.send(number, messages.AnswerData(b"two", True))
+
+    answers = peers.Answers()
+    async with peers.scripted(script) as address, peers.pool() as links:
+        respond = answers.respond("c1")
+        failure = await failure_of(links, address, peers.request(), respond)
+    assert failure.code == errorcodes.FRAME_UNEXPECTED
+    assert answers.whole == {}
+
+
+async def test_failure_of_another_call():
+    """Guards against "not run" told to a call that ran."""
+
+    async def script(peer):
+        number, _ = await peer.receive(messages.CallOpen)
+        refusal = messages.AnswerFailed("c2", "call.overloaded", "", NOT_RUN)
+        await peer.send(number, refusal)
+
+    async with peers.scripted(script) as address, peers.pool() as links:
+        failure = await failure_of(links, address, peers.request())
+    assert failure.outcome == UNKNOWN
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_silence_ends_a_call(begun):
+    """Guards against a call that hangs on a connection without data."""
+
+    async def script(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        if begun:
+            await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+            await peer.send(number, messages.AnswerData(b"half", False))
+
+    answers = peers.Answers()
+    async with peers.scripted(script) as address, peers.pool() as links:
+        request = peers.request(timeout_s=1000.0)
+        respond = answers.respond("c1")
+        failure = await failure_of(links, address, request, respond)
+    assert isinstance(failure, forward.LinkLost)
+    assert failure.sent and failure.outcome == UNKNOWN
+    assert answers.whole == {}
+
+
+async def test_silence_in_one_direction():
+    """Guards against a peer that sends but no longer receives."""
+
+    async def script(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+        # Nothing is read: no ping is answered. The pings of the peer arrive.
+        for sequence in range(1000):
+            await anyio.sleep(0.1)
+            await peer.send(0, messages.LinkPing(sequence))
+
+    async with peers.scripted(script) as address, peers.pool() as links:
+        # Only a pause of the peer's data makes the daemon send a ping.
+        request = peers.request(timeout_s=1000.0)
+        failure = await failure_of(links, address, request)
+    assert isinstance(failure, forward.LinkLost)
+
+
+async def test_idle_silent_connection_is_closed():
+    """Guards against reusing an idle connection that carries no data."""
+
+    async def script(peer):
+        await peer.receive(messages.Probe)
+        await peer.send(1, messages.ProbeAck())
+
+    async with peers.scripted(script) as address, peers.pool() as links:
+        async with links.stream(address) as stream:
+            await stream.send(messages.Probe())
+            await stream.receive()
+        (connection,) = links._connections.values()
+        with anyio.fail_after(30):
+            while connection.is_open:
+                await anyio.sleep(0.05)
+        assert connection.closed_error().code == errorcodes.LINK_SILENT
+
+
+async def test_answering_connection_stays_open():
+    """Guards against closing a connection because a call takes long."""
+
+    async def script(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        with anyio.move_on_after(2.0):
+            await peer.receive(messages.CallCancel)
+        answer = messages.AnswerOpen(opened.call_id, 200, last=True)
+        await peer.send(number, answer)
+
+    answers = peers.Answers()
+    async with peers.scripted(script) as address, peers.pool() as links:
+        request, respond = peers.request(), answers.respond("c1")
+        await forward.forward(links, address, request, respond)
+    assert "c1" in answers.whole
+
+
+async def test_unread_answer_holds_back_no_other_call():
+    """Guards against head-of-line blocking and unbounded memory."""
+    sent = 0
+
+    async def script(peer):
+        nonlocal sent
+        number, opened = await peer.receive(messages.CallOpen)
+        await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+        piece = b"x" * connections.BODY_CHUNK_BYTES
+        while sent + len(piece) <= connections.WINDOW_BYTES:
+            await peer.send(number, messages.AnswerData(piece, False))
+            sent += len(piece)
+        number, opened = await peer.receive(messages.CallOpen)
+        answer = messages.AnswerOpen(opened.call_id, 200, last=True)
+        await peer.send(number, answer)
+        # One more piece than the window: the sender ignores its credit.
+        await peer.send(1, messages.AnswerData(piece, False))
+
+    async def never_read(_response):
+        await anyio.sleep_forever()
+
+    answers = peers.Answers()
+    async with peers.scripted(script) as address, peers.pool() as links:
+        async with anyio.create_task_group() as tasks:
+            slow = peers.request("slow")
+            tasks.start_soon(forward.forward, links, address, slow, never_read)
+            await anyio.sleep(0.05)
+            request, respond = peers.request("fast"), answers.respond("fast")
+            await forward.forward(links, address, request, respond)
+            (connection,) = links._connections.values()
+            with anyio.fail_after(30):
+                while connection.is_open:
+                    await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+    assert answers.whole == {"fast": b""}
+    assert connection.closed_error().code == errorcodes.FRAME_UNEXPECTED
+
+
+async def test_cut_request_is_not_whole():
+    """Guards against half a body that is passed on as whole."""
+    received = []
+
+    async def handler(request, _respond):
+        with contextlib.suppress(exchange.CallFailed):
+            async for piece in request.body:
+                received.append(piece)
+            received.append("whole")
+
+    async def serve(stream):
+        async def serve_call(call_stream, message):
+            await forward.serve(call_stream, message, handler)
+
+        await connections.Connection(stream, 2.0, serve_call).run()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with await anyio.connect_tcp("127.0.0.1", port) as client:
+            peer = peers.Peer(client)
+            await peer.send(1, peers.request().open._replace(last=False))
+            await peer.send(1, messages.CallData(b"half", False))
+            with anyio.fail_after(30):
+                while not received:
+                    await anyio.sleep(0.01)
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    assert received == [b"half"]
+
+
+async def test_repeated_call_on_an_ended_stream():
+    """Guards against a second run of a call repeated on the wire."""
+    runs = []
+
+    async def handle(stream, message):
+        runs.append(message.call_id)
+        await stream.send(messages.AnswerOpen(message.call_id, 200, last=True))
+
+    async def serve(stream):
+        await connections.Connection(stream, 2.0, handle).run()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with await anyio.connect_tcp("127.0.0.1", port) as client:
+            peer = peers.Peer(client)
+            for number, call_id in [(1, "c1"), (1, "c1"), (2, "c2")]:
+                await peer.send(number, peers.request(call_id).open)
+                if call_id != "c1" or len(runs) == 0:
+                    await peer.receive(messages.AnswerOpen)
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    assert runs == ["c1", "c2"]
+
+
+async def test_refused_connection_is_not_run_and_backs_off():
+    """Guards against a storm of attempts to a daemon that is gone."""
+    async with peers.pool() as links:
+        address = "127.0.0.1:1"
+        failure = await failure_of(links, address, peers.request())
+        assert failure.outcome == NOT_RUN and not failure.sent
+        with pytest.raises(errors.CodedError, match="delayed"):
+            await links._connect(address)
+        assert links_module.backoff_s(3, 0.0) < links_module.backoff_s(3, 1.0)
