Break the connection when a stand-in loses an answer

Cause: hypercorn answers an exception of the application with status 500, so drop_answers and lose_replies never lost anything: the daemon received an answer.

Change: the stand-ins send the head of an answer whose body never comes; hypercorn then closes the connection.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -163,7 +163,7 @@
         self._version += 1
         self._objects[path] = (self._version, body)
         self._notify()
-        if not await self._reply_is_lost():
+        if not await self._reply_is_lost(send):
             await self._send_version(send, self._version_of(path), b"")
 
     async def _delete(
@@ -175,16 +175,17 @@
             return
         del self._objects[path]
         self._notify()
-        if not await self._reply_is_lost():
+        if not await self._reply_is_lost(send):
             await util.send_reply(send, 200, "text/plain", b"")
 
-    async def _reply_is_lost(self) -> bool:
+    async def _reply_is_lost(self, send: Any) -> bool:
         """Takes part in losing a reply; the connection then breaks."""
         if self._faults.lose_replies < 1:
             return False
         left = self._faults.lose_replies - 1
         self._faults = self._faults._replace(lose_replies=left)
-        raise ConnectionResetError("the reply is lost on purpose")
+        await serving.lose_answer(send)
+        return True
 
     def _notify(self) -> None:
         self._changed.set()
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -49,3 +49,17 @@
         body += event.get("body", b"")
         more = event.get("more_body", False)
     return body
+
+
+async def lose_answer(send: Any) -> None:
+    """Breaks the connection before the answer is whole.
+
+    An exception alone would be answered with status 500.
+
+    Raises:
+        ConnectionResetError: Always; the server then closes the connection.
+    """
+    headers = [(b"content-length", b"1")]
+    start = {"type": "http.response.start", "status": 200}
+    await send({**start, "headers": headers})
+    raise ConnectionResetError("the answer is lost on purpose")
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -150,7 +150,7 @@
         if self._faults.drop_answers > 0:
             left = self._faults.drop_answers - 1
             self._faults = self._faults._replace(drop_answers=left)
-            raise ConnectionResetError("the answer is lost on purpose")
+            await serving.lose_answer(send)
         await self._answer(send, query, size)
 
     async def _answer(
