Run calls with an idempotency key at most once

Cause: the header idempotency-key was passed on and had no effect.

POST /.rattangauge/keys issues a key.

net/drain.py is the gate in front of the upstream that refuses new work during shutdown; keyed repeats are still answered behind it.

Ingress watches for a caller that goes away also after a streamed body, and a half-sent request ends at the call's deadline.

--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -1,6 +1,7 @@
 """HTTP from callers, as an ASGI application."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import json
 import time
 from typing import Any
@@ -13,6 +14,7 @@
 from rattangauge import metrics
 from rattangauge import util
 from rattangauge.calls import exchange
+from rattangauge.calls import keys
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
@@ -23,6 +25,7 @@
 TENANT_HEADER = b"rattangauge-tenant"
 KEY_HEADER = b"idempotency-key"
 DEFAULT_TENANT = "default"
+KEYS_ENDPOINT = ("POST", "/.rattangauge/keys")
 MAX_DEPTH = 64
 
 _STATUS = {
@@ -43,6 +46,9 @@
 }
 _DEFAULT_STATUS = 503
 
+# Issues an idempotency key for calls of a target.
+Issue = Callable[[routes.Target], keys.IssuedKey]
+
 
 class Context(NamedTuple):
     """What travels with a call over all its hops.
@@ -108,6 +114,7 @@
         self._send = send
         self._answered = False
         self._more_body = True
+        self._body_ended = anyio.Event()
         self.headers = dict(scope["headers"])
 
     @property
@@ -148,10 +155,13 @@
             text = "the caller ended the request inside its body"
             raise exchange.not_run(errorcodes.CALL_CANCELLED, text)
         self._more_body = event.get("more_body", False)
+        if not self._more_body:
+            self._body_ended.set()
         return event.get("body", b"")
 
     async def wait_disconnect(self) -> None:
-        """Waits until the caller has gone."""
+        """Waits until the caller has gone after its whole request."""
+        await self._body_ended.wait()
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
@@ -254,7 +264,12 @@
         context = context._replace(call_id=uuid.uuid4().hex)
     deadline_ms = _deadline_ms(call, target)
     started = anyio.current_time()
-    body = await call.first_body()
+    try:
+        with anyio.fail_after(deadline_ms / 1000):
+            body = await call.first_body()
+    except TimeoutError as error:
+        text = "the deadline passed before the request was whole"
+        raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
     opened = messages.CallOpen(
         call_id=context.call_id,
         service=target.service.name,
@@ -291,8 +306,7 @@
             await call.wait_disconnect()
             tasks.cancel_scope.cancel()
 
-        if request.body is None:
-            tasks.start_soon(watch)
+        tasks.start_soon(watch)
         await router.run(request, target, call.respond)
         tasks.cancel_scope.cancel()
 
@@ -304,8 +318,41 @@
     return error
 
 
-def application(router: router_module.Router) -> Any:
-    """Returns the ASGI application for callers."""
+async def _answer_key_request(
+    router: router_module.Router, issue: Issue, call: _Call
+) -> None:
+    """Answers ``POST /.rattangauge/keys`` with a new idempotency key.
+
+    Raises:
+        exchange.CallFailed: The request is not valid or there is no upstream.
+    """
+    try:
+        wanted = json.loads(await call.first_body())
+        method, path = str(wanted["method"]), str(wanted["path"])
+    except (ValueError, TypeError, KeyError) as error:
+        text = f"the body is not {{method, path}}: {error!r}"
+        raise exchange.not_run(errorcodes.CALL_BAD_HEADER, text) from error
+    target = router.match(method.upper(), path.partition("?")[0])
+    key = issue(target)
+    fields = {"key": keys.format_key(key), "instance": key.instance}
+    body = json.dumps(fields).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    await call.start(200, headers)
+    await call.send_body(body, False)
+
+
+def application(
+    router: router_module.Router, issue: Issue | None = None
+) -> Any:
+    """Returns the ASGI application for callers.
+
+    Args:
+        router: Runs the calls.
+        issue: Issues idempotency keys.
+    """
 
     async def handle(scope: Any, receive: Any, send: Any) -> None:
         call = _Call(scope, receive, send)
@@ -313,6 +360,10 @@
         request = target = None
         outcome = "cancelled"
         try:
+            if issue and (scope["method"], scope["path"]) == KEYS_ENDPOINT:
+                await _answer_key_request(router, issue, call)
+                outcome = "key issued"
+                return
             request, target = await _request(router, call, scope)
             await _run(router, call, request, target)
             outcome = "answered"
--- a/rattangauge/net/router.py
+++ b/rattangauge/net/router.py
@@ -1,5 +1,7 @@
 """Takes calls from callers to a daemon whose upstream can serve them."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import random
 
 from rattangauge.calls import exchange
@@ -15,6 +17,11 @@
 # Bodies above this size make a call a long one where the route does not say.
 LONG_BODY_BYTES = 1_000_000
 
+# Runs a keyed call that is not idempotent.
+KeyedHandler = Callable[
+    [exchange.Request, routes.Target, exchange.Respond], Awaitable[None]
+]
+
 
 class Router:
     """Routes calls by the edition in force."""
@@ -30,6 +37,7 @@
         self._members = table
         self._worker = worker
         self._routes: routes.RouteTable | None = None
+        self._keyed: KeyedHandler | None = None
 
     @property
     def version(self) -> int:
@@ -40,6 +48,10 @@
         """Puts an edition in force for the calls that come from now on."""
         self._routes = routes.compile_routes(edition)
 
+    def use_keys(self, keyed: KeyedHandler) -> None:
+        """Sets the handler of keyed calls that are not idempotent."""
+        self._keyed = keyed
+
     def match(self, method: str, path: str) -> routes.Target:
         """Returns the target of a request.
 
@@ -79,13 +91,22 @@
         Raises:
             exchange.CallFailed: There is no whole answer.
         """
-        member = self._choose(target)
+        opened = request.open
+        if opened.key and not opened.idempotent and self._keyed is not None:
+            await self._keyed(request, target, respond)
+            return
+        member = self.choose_member(target)
         if member.instance == self._members.own.instance:
             await self._worker.run(request, respond)
         else:
             await forward.forward(self._links, member.mesh, request, respond)
 
-    def _choose(self, target: routes.Target) -> messages.Member:
+    def choose_member(self, target: routes.Target) -> messages.Member:
+        """Returns the member that runs the next call of a target.
+
+        Raises:
+            exchange.CallFailed: No upstream is known.
+        """
         for pool in target.pools:
             candidates = [
                 member
--- a/rattangauge/net/servers.py
+++ b/rattangauge/net/servers.py
@@ -1,5 +1,6 @@
 """Listening sockets of the daemon."""
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -16,6 +17,29 @@
 REQUESTS_PER_CONNECTION = 1_000_000_000
 
 
+def close_connections(app: Any, closing: Callable[[], bool]) -> Any:
+    """Returns an application whose answers end their connections in time.
+
+    Callers then open connections to another daemon before this one closes
+    those that are idle.
+
+    Args:
+        app: ASGI application.
+        closing: Tells whether connections should end.
+    """
+
+    async def wrapped(scope: Any, receive: Any, send: Any) -> None:
+        async def send_closing(event: Any) -> None:
+            if event["type"] == "http.response.start" and closing():
+                headers = [*event.get("headers", []), (b"connection", b"close")]
+                event = {**event, "headers": headers}
+            await send(event)
+
+        await app(scope, receive, send_closing)
+
+    return wrapped
+
+
 async def serve_http(
     app: Any,
     address: str,
--- a/rattangauge/net/worker.py
+++ b/rattangauge/net/worker.py
@@ -20,6 +20,7 @@
         self._announcement: upstream.Announcement | None = None
         self._announced_at = 0.0
         self._running = 0
+        self._draining = False
 
     @property
     def announcement(self) -> upstream.Announcement | None:
@@ -31,6 +32,8 @@
         """State of the upstream."""
         if self._announcement is None:
             return messages.UpstreamState.ABSENT
+        if self._draining:
+            return messages.UpstreamState.DRAINING
         age = anyio.current_time() - self._announced_at
         if age > ANNOUNCEMENT_TIMEOUT_S:
             return messages.UpstreamState.DOWN
@@ -44,6 +47,10 @@
             running=self._running, limit=limit, state=self.state
         )
 
+    def drain(self) -> None:
+        """Announces from now on that the upstream takes no new work."""
+        self._draining = True
+
     async def announce(self, announcement: upstream.Announcement) -> None:
         """Takes an announcement of the upstream."""
         self._announced_at = anyio.current_time()
@@ -64,6 +71,9 @@
         if self._client is None:
             text = "the daemon has no upstream"
             raise exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text)
+        if self.state == messages.UpstreamState.DRAINING:
+            text = "the upstream takes no new work"
+            raise exchange.not_run(errorcodes.CALL_DRAINING, text, 1000)
 
         async def respond_with_load(response: exchange.Response) -> None:
             head = response.open._replace(load=self.load)
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -12,10 +12,13 @@
 from rattangauge import util
 from rattangauge.generated import messages
 from rattangauge.membership import members
+from rattangauge.net import claims as claims_module
+from rattangauge.net import drain as drain_module
 from rattangauge.net import follow
 from rattangauge.net import forward
 from rattangauge.net import gossip as gossip_module
 from rattangauge.net import ingress
+from rattangauge.net import keyed as keyed_module
 from rattangauge.net import links as links_module
 from rattangauge.net import operators
 from rattangauge.net import platform
@@ -24,6 +27,11 @@
 from rattangauge.net import upstream
 from rattangauge.net import worker as worker_module
 
+# Membership periods, and seconds at most, for which the daemon announces its
+# shutdown before it closes idle connections of callers.
+ANNOUNCE_PERIODS = 1.5
+MAX_ANNOUNCE_S = 3.0
+
 
 def _own_record(settings: settings_module.Settings) -> messages.Member:
     return messages.Member(
@@ -47,7 +55,8 @@
     ) -> None:
         """Creates the parts of a daemon; ``run`` starts them."""
         self._settings = settings
-        self._stop = anyio.Event()
+        self._stop_callers = anyio.Event()
+        self._stop_operators = anyio.Event()
         self._events = events_module.Events()
         self._members = members.MemberTable(_own_record(settings))
         self._links = links_module.Links(settings, tasks)
@@ -55,6 +64,18 @@
         self._router = router_module.Router(
             self._links, self._members, self._worker
         )
+        self._drain = drain_module.Drain(self._worker.run)
+        claims = claims_module.Claims(settings, store, tasks)
+        self._keyed = keyed_module.Keyed(
+            settings,
+            self._members,
+            self._links,
+            self._router,
+            claims,
+            self._drain.run,
+            tasks,
+        )
+        self._router.use_keys(self._keyed.route)
         self._gossip = gossip_module.Gossip(
             settings, self._members, self._links, self._worker
         )
@@ -74,26 +95,40 @@
                 operators.application(self._endpoints()),
                 settings.listen.operators,
                 settings,
-                self._stop,
+                self._stop_operators,
             )
+            tasks.start_soon(self._leave)
             log.logger.info("the daemon listens")
+            app = ingress.application(self._router, self._keyed.issue)
             await servers.serve_http(
-                ingress.application(self._router),
+                servers.close_connections(app, lambda: self._drain.begun),
                 settings.listen.callers,
                 settings,
-                self._stop,
+                self._stop_callers,
             )
+            with anyio.move_on_after(settings.shutdown.limit_s):
+                await self._drain.wait_idle()
             tasks.cancel_scope.cancel()
 
     def stop(self) -> None:
         """Starts a graceful shutdown."""
-        self._stop.set()
+        self._drain.begin()
+        self._worker.drain()
+        self._gossip.refresh_own()
+
+    async def _leave(self) -> None:
+        """Closes the callers' port once the members know of the shutdown."""
+        await self._drain.wait_begun()
+        period_s = self._settings.mesh.ping_period_s
+        await anyio.sleep(min(MAX_ANNOUNCE_S, ANNOUNCE_PERIODS * period_s))
+        self._stop_callers.set()
 
     async def _handle(
         self, stream: links_module.Stream, message: messages.Message
     ) -> None:
         if isinstance(message, messages.CallOpen):
-            await forward.serve(stream, message, self._worker.run)
+            async with self._drain.hold():
+                await forward.serve(stream, message, self._keyed.run_here)
         elif isinstance(message, messages.JoinRequest):
             await self._gossip.answer_join(stream, message)
 
@@ -105,6 +140,7 @@
             ("GET", "/status"): self._status,
             ("GET", "/explain"): self._explain,
             ("POST", "/upstream"): self._announce,
+            ("POST", "/drain"): self._start_drain,
         }
 
     async def _health(self, _query: Any, _body: bytes) -> operators.Reply:
@@ -112,7 +148,7 @@
 
     async def _ready(self, _query: Any, _body: bytes) -> operators.Reply:
         version = self._router.version
-        status = 200 if version else 503
+        status = 200 if version and not self._drain.begun else 503
         return operators.json_reply({"version": version}, status)
 
     async def _status(self, _query: Any, _body: bytes) -> operators.Reply:
@@ -134,6 +170,10 @@
         subject = query.get("subject", "")
         return operators.json_reply({"events": self._events.tables(subject)})
 
+    async def _start_drain(self, _query: Any, _body: bytes) -> operators.Reply:
+        self.stop()
+        return operators.json_reply({"draining": True})
+
     async def _announce(self, _query: Any, body: bytes) -> operators.Reply:
         announcement = upstream.parse_announcement(body)
         await self._worker.announce(announcement)
