Test limits, cut uploads and cancellation on the callers' port

Cause: none of these had a test, and the upstream stand-in went on with an answer after its client had gone, so cancellation could not be observed.

Change: the stand-in stops and counts "cancelled". A request with 200 kB of headers gets 431, a request that is never whole is answered "not run" at its deadline, an upload that is cut off reaches the upstream cut off.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -51,6 +51,12 @@
     return body
 
 
+async def wait_disconnect(receive: Any) -> None:
+    """Waits until the client has gone."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 async def lose_answer(send: Any) -> None:
     """Breaks the connection before the answer is whole.
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -139,13 +139,26 @@
         self._counters["begun"] += 1
         if key:
             self._runs[key] += 1
-        size = 0
         try:
             size = len(await serving.read_body(receive))
-            await anyio.sleep(work_s * self._faults.slow_factor)
         except ConnectionResetError:
             self._counters["cut_off"] += 1
             raise
+        async with anyio.create_task_group() as tasks:
+
+            async def watch() -> None:
+                await serving.wait_disconnect(receive)
+                self._counters["cancelled"] += 1
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            await self._work(send, query, size, work_s)
+            tasks.cancel_scope.cancel()
+
+    async def _work(
+        self, send: Any, query: dict[str, str], size: int, work_s: float
+    ) -> None:
+        await anyio.sleep(work_s * self._faults.slow_factor)
         self._counters["finished"] += 1
         if self._faults.drop_answers > 0:
             left = self._faults.drop_answers - 1
--- /dev/null
+++ b/tests/test_ingress_limits.py
@@ -0,0 +1,78 @@
+"""Requests on the callers' port that are too large or never whole."""
+
+import anyio
+import pytest
+
+from tests import test_once
+from tools import fleet as fleet_module
+
+pytestmark = pytest.mark.anyio
+
+
+async def exchange_bytes(address, *pieces):
+    """Sends pieces and returns all that comes back until the end."""
+    host, port = address.rsplit(":", 1)
+    received = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        with anyio.fail_after(30):
+            try:
+                for piece in pieces:
+                    await stream.send(piece)
+                async for piece in stream:
+                    received += piece
+            except anyio.BrokenResourceError:
+                pass
+    return received
+
+
+async def test_bad_requests_do_not_stop_the_daemon():
+    """Guards against header bombs and requests that are never whole."""
+    async with test_once.mesh() as (fleet, client):
+        address = fleet.ports["a"].callers
+        bomb = b"GET / HTTP/1.1\r\nhost: a\r\nx-large: " + b"x" * 200_000
+        assert b"431" in (await exchange_bytes(address, bomb))[:20]
+        half = (
+            b"POST /objednavky?echo=half HTTP/1.1\r\nhost: a\r\n"
+            b"rattangauge-deadline-ms: 300\r\nconnection: close\r\n"
+            b"content-length: 100\r\n\r\nhalf"
+        )
+        answer = await exchange_bytes(address, half)
+        assert b"call.deadline" in answer and b"not_run" in answer
+        good = await client.get(f"http://{address}/objednavky")
+        assert good.status_code == 200
+        assert await test_once.runs(fleet, "half") == 0
+
+
+async def test_caller_that_leaves_inside_its_body():
+    """Guards against half an upload that counts as a whole one."""
+    async with test_once.mesh() as (fleet, _client):
+        for name in ("a", "c"):
+            host, port = fleet.ports[name].callers.rsplit(":", 1)
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                head = (
+                    b"POST /objednavky?echo=%s HTTP/1.1\r\nhost: a\r\n"
+                    b"content-length: 1000000\r\n\r\n"
+                ) % name.encode()
+                await stream.send(head + b"x" * 100_000)
+                await test_once.wait_runs(fleet, name)
+
+        async def is_cut_off():
+            counters = await fleet.counters("c")
+            return counters.get("cut_off", 0) == 2
+
+        await fleet_module.wait_until(is_cut_off, "both uploads are cut off")
+        assert (await fleet.counters("c")).get("finished", 0) == 0
+
+
+async def test_cancellation_reaches_the_upstream():
+    """Guards against work that goes on for a caller that has gone."""
+    async with test_once.mesh() as (fleet, client):
+        address = test_once.url(fleet, "a", "?echo=gone&size=9000000&rate=9000")
+        async with client.stream("GET", address) as response:
+            assert response.status_code == 200
+
+        async def is_cancelled():
+            counters = await fleet.counters("c")
+            return counters.get("cancelled", 0) == 1
+
+        await fleet_module.wait_until(is_cancelled, "the upstream stops")
