Exit with 0 after a drain that interrupts no request

Cause: in tests/test_drain.py the daemon ended with status 1 in 9 of 10 cases: hypercorn on the operators' port was cancelled and raised, and the asyncio streams of each cancelled connection printed a traceback.

The daemon is not ready at once, its upstream counts as draining, answers to callers end their connections for 1.5 membership periods, then the callers' port is closed, calls of other daemons and keyed calls without a caller are waited for, and the operators' port is stopped last by its trigger instead of by cancellation. Both waits share shutdown.limit_s. CancelledError of a connection's callback is no longer printed.

Ruled out: closing idle connections at once; a caller that sends its next request at that moment gets no answer.

--- a/rattangauge/net/drain.py
+++ b/rattangauge/net/drain.py
@@ -12,13 +12,16 @@
 class Drain:
     """Whether the daemon shuts down, and what it still runs."""
 
-    def __init__(self, run: exchange.Handler) -> None:
+    def __init__(self, run: exchange.Handler, limit_s: float) -> None:
         """Creates a drain that has not begun.
 
         Args:
             run: Runs a call on the upstream beside the daemon.
+            limit_s: Time that running calls may take to finish, in seconds.
         """
         self._run = run
+        self._limit_s = limit_s
+        self._begun_at = 0.0
         self._begun = anyio.Event()
         self._open = 0
         self._idle = anyio.Event()
@@ -28,8 +31,17 @@
         """Whether the daemon shuts down."""
         return self._begun.is_set()
 
+    @property
+    def seconds_left(self) -> float:
+        """Time that running calls still have, in seconds."""
+        if not self.begun:
+            return self._limit_s
+        return self._begun_at + self._limit_s - anyio.current_time()
+
     def begin(self) -> None:
         """Starts the shutdown; repeats have no effect."""
+        if not self.begun:
+            self._begun_at = anyio.current_time()
         self._begun.set()
 
     async def wait_begun(self) -> None:
--- a/rattangauge/net/servers.py
+++ b/rattangauge/net/servers.py
@@ -1,5 +1,6 @@
 """Listening sockets of the daemon."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -40,6 +41,18 @@
     return wrapped
 
 
+def _ignore_cancelled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Reports errors of callbacks, except that a connection was cancelled.
+
+    The streams of asyncio ask a cancelled connection task for its exception,
+    which raises ``CancelledError`` in their callback.
+    """
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 async def serve_http(
     app: Any,
     address: str,
@@ -62,6 +75,7 @@
     async def serve() -> None:
         await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop.wait)
 
+    asyncio.get_running_loop().set_exception_handler(_ignore_cancelled)
     # hypercorn cancels the task that it runs in, so it needs one of its own.
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -31,6 +31,7 @@
 # shutdown before it closes idle connections of callers.
 ANNOUNCE_PERIODS = 1.5
 MAX_ANNOUNCE_S = 3.0
+STOP_OPERATORS_S = 2.0
 
 
 def _own_record(settings: settings_module.Settings) -> messages.Member:
@@ -57,6 +58,7 @@
         self._settings = settings
         self._stop_callers = anyio.Event()
         self._stop_operators = anyio.Event()
+        self._operators_stopped = anyio.Event()
         self._events = events_module.Events()
         self._members = members.MemberTable(_own_record(settings))
         self._links = links_module.Links(settings, tasks)
@@ -64,7 +66,9 @@
         self._router = router_module.Router(
             self._links, self._members, self._worker
         )
-        self._drain = drain_module.Drain(self._worker.run)
+        self._drain = drain_module.Drain(
+            self._worker.run, settings.shutdown.limit_s
+        )
         claims = claims_module.Claims(settings, store, tasks)
         self._keyed = keyed_module.Keyed(
             settings,
@@ -90,13 +94,7 @@
             tasks.start_soon(servers.serve_mesh, self._handle, settings)
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._follower.run)
-            tasks.start_soon(
-                servers.serve_http,
-                operators.application(self._endpoints()),
-                settings.listen.operators,
-                settings,
-                self._stop_operators,
-            )
+            tasks.start_soon(self._serve_operators)
             tasks.start_soon(self._leave)
             log.logger.info("the daemon listens")
             app = ingress.application(self._router, self._keyed.issue)
@@ -106,10 +104,26 @@
                 settings,
                 self._stop_callers,
             )
-            with anyio.move_on_after(settings.shutdown.limit_s):
-                await self._drain.wait_idle()
+            await self._finish()
             tasks.cancel_scope.cancel()
 
+    async def _serve_operators(self) -> None:
+        await servers.serve_http(
+            operators.application(self._endpoints()),
+            self._settings.listen.operators,
+            self._settings,
+            self._stop_operators,
+        )
+        self._operators_stopped.set()
+
+    async def _finish(self) -> None:
+        """Waits for running calls, then stops the operators' port."""
+        with anyio.move_on_after(self._drain.seconds_left):
+            await self._drain.wait_idle()
+        self._stop_operators.set()
+        with anyio.move_on_after(STOP_OPERATORS_S):
+            await self._operators_stopped.wait()
+
     def stop(self) -> None:
         """Starts a graceful shutdown."""
         self._drain.begin()
