Test the daemon that a key names, and cut bodies of keyed calls

Cause: with the incarnation check of run_here or the check for a whole body removed, no test failed: the first daemon's member table and the cancellation of the handler hid both.

Change: tests/test_keyed.py calls the handler directly; the handler of test_cut_request_is_not_whole outlives its connection, as a keyed call does. Both removals now fail a test.

--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -218,7 +218,11 @@
     received = []
 
     async def handler(request, _respond):
-        with contextlib.suppress(exchange.CallFailed):
+        # Like a keyed call, the handler outlives the connection.
+        with (
+            anyio.CancelScope(shield=True),
+            contextlib.suppress(exchange.CallFailed),
+        ):
             async for piece in request.body:
                 received.append(piece)
             received.append("whole")
--- /dev/null
+++ b/tests/test_keyed.py
@@ -0,0 +1,99 @@
+"""The daemon that a key names."""
+
+import anyio
+import pytest
+
+from rattangauge.calls import exchange
+from rattangauge.calls import keys
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.membership import members
+from rattangauge.net import keyed
+from tests import builders
+from tests import peers
+
+pytestmark = pytest.mark.anyio
+OWN = builders.member("a", incarnation=5)
+
+
+def request(key, **fields):
+    return peers.request(key=keys.format_key(key), **fields)
+
+
+def handler(run, tasks):
+    table = members.MemberTable(OWN)
+    parts = (peers.settings(), table, None, None, None, run, tasks)
+    return keyed.Keyed(*parts)
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [{"incarnation": 4}, {"incarnation": 6}, {"instance": "b"}],
+)
+async def test_key_of_another_daemon_does_not_run(changed):
+    """Guards against running a key that may have run before a restart."""
+    runs = []
+
+    async def run(call, _respond):
+        runs.append(call)
+
+    key = keys.issue(OWN, "skladby", 1, "n")._replace(**changed)
+    async with anyio.create_task_group() as tasks:
+        with pytest.raises(exchange.CallFailed) as caught:
+            call = request(key, claimed=True)
+            await handler(run, tasks).run_here(call, None)
+    assert caught.value.code == errorcodes.KEY_GONE
+    assert caught.value.outcome == messages.Outcome.UNKNOWN
+    assert runs == []
+
+
+async def test_refused_call_may_be_repeated():
+    """Guards against a key that is used up by a call that did not run."""
+    runs = []
+
+    async def run(call, respond):
+        runs.append(call)
+        if len(runs) == 1:
+            raise exchange.not_run(errorcodes.CALL_OVERLOADED, "full")
+        head = messages.AnswerOpen(call.open.call_id, 200, last=True)
+        await respond(exchange.Response(head, None))
+
+    key = keys.issue(OWN, "skladby", 1, "n")
+    answers = peers.Answers()
+    async with anyio.create_task_group() as tasks:
+        daemon = handler(run, tasks)
+        with pytest.raises(exchange.CallFailed):
+            await daemon.run_here(request(key), answers.respond("c1"))
+        for call_id in ("c2", "c3"):
+            call = request(key, call_id=call_id)
+            await daemon.run_here(call, answers.respond(call_id))
+    assert len(runs) == 2
+    assert set(answers.whole) == {"c2", "c3"}
+
+
+async def test_running_call_outlives_its_caller():
+    """Guards against a repeat that gets no answer to a call that ran."""
+    resume = anyio.Event()
+    runs = []
+
+    async def body():
+        yield b"one"
+        await resume.wait()
+        yield b"two"
+
+    async def run(call, respond):
+        runs.append(call)
+        head = messages.AnswerOpen(call.open.call_id, 200)
+        await respond(exchange.Response(head, body()))
+
+    key = keys.issue(OWN, "skladby", 1, "n")
+    answers = peers.Answers()
+    async with anyio.create_task_group() as tasks:
+        daemon = handler(run, tasks)
+        with anyio.move_on_after(0.05):
+            await daemon.run_here(request(key), answers.respond("c1"))
+        resume.set()
+        call = request(key, call_id="c2")
+        await daemon.run_here(call, answers.respond("c2"))
+    assert answers.whole == {"c2": b"onetwo"}
+    assert len(runs) == 1
