Bind new keys only to daemons that can be reached

Cause: a key was issued or claimed for any member of the table. After a kill the table still held the member, so its keys were refused as key.gone although they never ran.

Change: a connection to the chosen member is opened before its key is issued; up to three members are tried.

--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -1,6 +1,7 @@
 """HTTP from callers, as an ASGI application."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 import json
 import time
@@ -47,7 +48,7 @@
 _DEFAULT_STATUS = 503
 
 # Issues an idempotency key for calls of a target.
-Issue = Callable[[routes.Target], keys.IssuedKey]
+Issue = Callable[[routes.Target], Awaitable[keys.IssuedKey]]
 
 
 class Context(NamedTuple):
@@ -333,7 +334,7 @@
         text = f"the body is not {{method, path}}: {error!r}"
         raise exchange.not_run(errorcodes.CALL_BAD_HEADER, text) from error
     target = router.match(method.upper(), path.partition("?")[0])
-    key = issue(target)
+    key = await issue(target)
     fields = {"key": keys.format_key(key), "instance": key.instance}
     body = json.dumps(fields).encode()
     headers = [
--- a/rattangauge/net/keyed.py
+++ b/rattangauge/net/keyed.py
@@ -32,6 +32,8 @@
 # Share of its remaining time that a repeat waits for the first call.
 WAIT_SHARE = 0.9
 ATTEMPTS = 2
+# Members that are tried for a new key.
+CHOICES = 3
 RELAYS = 2
 
 _GONE = (messages.MemberState.DEAD, messages.MemberState.LEFT)
@@ -95,15 +97,28 @@
         self._outcomes = outcomes.Outcomes(settings.calls.key_records)
         self._running: dict[str, running.Running] = {}
 
-    def issue(self, target: routes.Target) -> keys.IssuedKey:
+    async def issue(self, target: routes.Target) -> keys.IssuedKey:
         """Issues a key for one of the target's upstreams.
 
+        A key binds all its calls to one daemon, so a connection to that
+        daemon is opened first.
+
         Raises:
-            exchange.CallFailed: No upstream can be chosen.
+            exchange.CallFailed: No upstream can be reached.
         """
-        member = self._router.choose_member(target)
-        nonce = uuid.uuid4().hex
-        return keys.issue(member, target.service.name, util.now_ms(), nonce)
+        reason = ""
+        for _ in range(CHOICES):
+            member = self._router.choose_member(target)
+            try:
+                if member.instance != self._members.own.instance:
+                    await self._links.reach(member.mesh)
+            except errors.CodedError as error:
+                reason = str(error)
+                continue
+            nonce = uuid.uuid4().hex
+            service = target.service.name
+            return keys.issue(member, service, util.now_ms(), nonce)
+        raise exchange.not_run(errorcodes.CALL_NO_UPSTREAM, reason, 1000)
 
     async def route(
         self,
@@ -134,7 +149,7 @@
         except errors.CodedError as error:
             raise exchange.not_run(error.code, error.message) from error
         name = claims_module.identity(request.open.tenant, text)
-        issued = keys.format_key(self.issue(target))
+        issued = keys.format_key(await self.issue(target))
         limit_s = request.deadline - anyio.current_time()
         return _parse(await self._claims.claim(name, issued, limit_s))
 
--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -95,6 +95,14 @@
                 self._connections[key] = connection
         return connection
 
+    async def reach(self, address: str, purpose: str = "calls") -> None:
+        """Makes sure that the shared connection for a purpose is open.
+
+        Raises:
+            errors.CodedError: The connection cannot be opened.
+        """
+        await self._shared(address, purpose)
+
     @contextlib.asynccontextmanager
     async def stream(
         self, address: str, purpose: str = "control"
