Test that a key reaches its daemon through a daemon of its zone

Cause: in tests of whole daemons each daemon still knows the members of all zones, so the relay within the key's zone never ran.

Change: both halves of the relay run against a scripted peer: the first daemon sends the call unclaimed to a daemon of the zone, which marks it claimed for the named daemon, so that it is not passed on again.

--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -97,3 +97,36 @@
         await daemon.run_here(call, answers.respond("c2"))
     assert answers.whole == {"c2": b"onetwo"}
     assert len(runs) == 1
+
+
+@pytest.mark.parametrize("own_zone", ["zone-1", "zone-2"])
+async def test_key_reaches_its_daemon_through_its_zone(own_zone):
+    """Guards against a key that only daemons of one zone can pass on."""
+    seen = []
+
+    async def script(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        seen.append(opened.claimed)
+        answer = messages.AnswerOpen(opened.call_id, 200, last=True)
+        await peer.send(number, answer)
+
+    named = builders.member("y", zone="zone-2")
+    key = keys.issue(named, "skladby", 1, "n")
+    answers = peers.Answers()
+    async with peers.scripted(script) as address, peers.pool() as links:
+        table = members.MemberTable(OWN._replace(zone=own_zone))
+        # A daemon of zone-1 knows some member of zone-2, one of zone-2 all.
+        known = named if own_zone == "zone-2" else builders.member("x")
+        known = known._replace(zone="zone-2", mesh=address)
+        table.merge([known])
+        parts = (peers.settings(), table, links, None, None, None, None)
+        daemon = keyed.Keyed(*parts)
+        opened = request(key).open._replace(service="skladby")
+        call = exchange.Request(opened, None, anyio.current_time() + 10.0)
+        respond = answers.respond("c1")
+        if own_zone == "zone-2":
+            await daemon.run_here(call, respond)
+        else:
+            await daemon.route(call, None, respond)
+    assert seen == [own_zone == "zone-2"]
+    assert "c1" in answers.whole
