--- a/rattangauge/net/servers.py
+++ b/rattangauge/net/servers.py
@@ -1,5 +1,7 @@
 """Listening sockets of the daemon."""
 
+import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -16,6 +18,41 @@
 REQUESTS_PER_CONNECTION = 1_000_000_000
 
 
+def close_connections(app: Any, closing: Callable[[], bool]) -> Any:
+    """Returns an application whose answers end their connections in time.
+
+    Callers then open connections to another daemon before this one closes
+    those that are idle.
+
+    Args:
+        app: ASGI application.
+        closing: Tells whether connections should end.
+    """
+
+    async def wrapped(scope: Any, receive: Any, send: Any) -> None:
+        async def send_closing(event: Any) -> None:
+            if event["type"] == "http.response.start" and closing():
+                headers = [*event.get("headers", []), (b"connection", b"close")]
+                event = {**event, "headers": headers}
+            await send(event)
+
+        await app(scope, receive, send_closing)
+
+    return wrapped
+
+
+def _ignore_cancelled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Reports errors of callbacks, except that a connection was cancelled.
+
+    The streams of asyncio ask a cancelled connection task for its exception,
+    which raises ``CancelledError`` in their callback.
+    """
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 async def serve_http(
     app: Any,
     address: str,
@@ -38,6 +75,7 @@
     async def serve() -> None:
         await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop.wait)
 
+    asyncio.get_running_loop().set_exception_handler(_ignore_cancelled)
     # hypercorn cancels the task that it runs in, so it needs one of its own.
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
