Spread editions between daemons and probe members by SWIM

Cause: every daemon watched the store, and every daemon exchanged all member records with every other one each second. The cost of the store grew with the fleet and the cost of a daemon with the size of its zone.

Ruled out: a leader per zone with a lease, because two views of the member table then cost more than one additional watch; sending whole member tables in probes, because the size of a probe would grow with the zone.

Change: two gateways per zone watch the head. Probes, acknowledgements and zone exchanges carry version and digest. The first gateway writes the status of its zone. Control bytes are counted at the mesh connection. The router falls back to remote workers from summaries.

--- a/rattangauge/config/edition.py
+++ b/rattangauge/config/edition.py
@@ -58,7 +58,12 @@
     return errors.FindingsError([errors.Finding(place, "", message, code)])
 
 
-def _tables(data: bytes, place: str) -> dict[str, Any]:
+def read_table(data: bytes, place: str) -> dict[str, Any]:
+    """Decodes a compressed JSON object of bounded size.
+
+    Raises:
+        errors.FindingsError: The data are truncated or malformed.
+    """
     decompressor = zlib.decompressobj()
     try:
         text = decompressor.decompress(data, MAX_EDITION_BYTES)
@@ -87,7 +92,7 @@
         message = f"the data have the digest {actual}, not {digest}"
         code = errorcodes.EDITION_DIGEST
         raise errors.FindingsError([errors.Finding(place, "", message, code)])
-    loaded = objects_module.read_tables(_tables(data, place), place)
+    loaded = objects_module.read_tables(read_table(data, place), place)
     objects, collected = objects_module.collect(loaded.objects)
     findings = loaded.findings + collected.findings + check.check(objects)
     if findings:
--- /dev/null
+++ b/rattangauge/membership/status.py
@@ -0,0 +1,132 @@
+"""Status of an availability zone as its members know it."""
+
+from collections.abc import Iterable
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+from rattangauge.generated import messages
+from rattangauge.membership import members as members_module
+
+
+class ProxyStatus(TypedDict):
+    """What is known of one proxy; ``age_ms`` is the age of this knowledge."""
+
+    instance: str
+    version: int
+    age_ms: int
+    upstream: str
+    service: str
+    state: str
+    rejected_version: int
+    rejected_code: str
+
+
+class ZoneStatus(TypedDict):
+    """Status of a zone.
+
+    ``first_ms`` and ``all_ms`` are the times at which the first and the last
+    live proxy were known to have the highest version; 0 if not yet.
+    ``slowest`` is the proxy that was or is the last one to have it.
+    """
+
+    zone: str
+    region: str
+    written_ms: int
+    writer: str
+    lowest_version: int
+    highest_version: int
+    first_ms: int
+    all_ms: int
+    slowest: str
+    store_reachable: bool | None
+    proxies: list[ProxyStatus]
+
+
+class Progress(NamedTuple):
+    """How far the highest version has spread in the zone."""
+
+    version: int = 0
+    first_ms: int = 0
+    all_ms: int = 0
+    slowest: str = ""
+
+
+def advance(
+    progress: Progress, live: Iterable[messages.Member], now_ms: int
+) -> Progress:
+    """Returns the progress with the versions that are now in force.
+
+    Args:
+        progress: Progress so far.
+        live: Members of the zone that are not dead.
+        now_ms: Time in milliseconds since 1970.
+    """
+    members = sorted(live, key=lambda member: member.instance)
+    highest = max((member.version for member in members), default=0)
+    if highest > progress.version:
+        progress = Progress(highest, now_ms)
+    behind = [m for m in members if m.version < progress.version]
+    if behind:
+        slowest = min(behind, key=lambda member: member.version)
+        return progress._replace(slowest=slowest.instance)
+    if progress.version and not progress.all_ms:
+        return progress._replace(all_ms=now_ms)
+    return progress
+
+
+def _proxy(
+    member: messages.Member, table: members_module.MemberTable, now: float
+) -> ProxyStatus:
+    return ProxyStatus(
+        instance=member.instance,
+        version=member.version,
+        age_ms=round(1000 * table.age_s(member.instance, now)),
+        upstream=member.upstream.name.lower(),
+        service=member.service,
+        state=member.state.name.lower(),
+        rejected_version=member.rejected_version,
+        rejected_code=member.rejected_code,
+    )
+
+
+def build(
+    table: members_module.MemberTable,
+    progress: Progress,
+    store_reachable: bool | None,
+    now: float,
+    now_ms: int,
+) -> ZoneStatus:
+    """Returns the status of the zone.
+
+    Args:
+        table: Members of the zone.
+        progress: How far the highest version has spread.
+        store_reachable: Whether the store answered; None if unknown.
+        now: Monotonic time in seconds.
+        now_ms: Time in milliseconds since 1970.
+    """
+    own = table.own
+    records = sorted(table.members.values(), key=lambda m: m.instance)
+    versions = [member.version for member in table.live]
+    return ZoneStatus(
+        zone=own.zone,
+        region=own.region,
+        written_ms=now_ms,
+        writer=own.instance,
+        lowest_version=min(versions, default=0),
+        highest_version=max(versions, default=0),
+        first_ms=progress.first_ms,
+        all_ms=progress.all_ms,
+        slowest=progress.slowest,
+        store_reachable=store_reachable,
+        proxies=[_proxy(member, table, now) for member in records],
+    )
+
+
+def without_times(status: ZoneStatus) -> dict[str, Any]:
+    """Returns a status without what changes though nothing happened."""
+    table: dict[str, Any] = {**status}
+    del table["written_ms"]
+    table["proxies"] = [{**proxy, "age_ms": 0} for proxy in status["proxies"]]
+    return table
--- /dev/null
+++ b/rattangauge/membership/summary.py
@@ -0,0 +1,165 @@
+"""Summaries of the services of an availability zone for the other zones."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from rattangauge.generated import messages
+
+ADDRESSES_PER_SERVICE = 4
+# A summary is renewed after this time even if nothing has changed.
+RENEWAL_S = 60.0
+# A zone whose summary was not renewed for this time is not used any more.
+EXPIRY_S = 3 * RENEWAL_S
+
+
+class RemoteWorker(NamedTuple):
+    """A worker of another zone that a call may spill to.
+
+    Attributes:
+        zone: Its availability zone.
+        region: Region of that zone.
+        mesh: Mesh address of its daemon.
+        service: Service that its upstream announces.
+        serving: Workers of the service that serve in that zone.
+        free_slots: Slots of these workers together.
+    """
+
+    zone: str
+    region: str
+    mesh: str
+    service: str
+    serving: int
+    free_slots: int
+
+
+def _service_summary(
+    service: str, workers: list[messages.Member]
+) -> messages.ServiceSummary:
+    workers = sorted(workers, key=lambda member: member.instance)
+    addresses = [member.mesh for member in workers[:ADDRESSES_PER_SERVICE]]
+    return messages.ServiceSummary(
+        service=service,
+        serving=len(workers),
+        free_slots=sum(member.slots for member in workers),
+        addresses=tuple(addresses),
+    )
+
+
+def summarize(
+    own: messages.Member,
+    live: Iterable[messages.Member],
+    gateways: Iterable[messages.Member],
+) -> messages.ZoneSummary:
+    """Returns the summary of a zone, without a sequence.
+
+    Args:
+        own: Record of the daemon that makes the summary.
+        live: Members of the zone that are not dead.
+        gateways: Gateways of the zone.
+    """
+    members = list(live)
+    services: dict[str, list[messages.Member]] = {}
+    for member in members:
+        if member.upstream == messages.UpstreamState.SERVING:
+            services.setdefault(member.service, []).append(member)
+    return messages.ZoneSummary(
+        zone=own.zone,
+        region=own.region,
+        members=len(members),
+        version=min((member.version for member in members), default=0),
+        services=tuple(
+            _service_summary(name, services[name]) for name in sorted(services)
+        ),
+        gateways=tuple(member.mesh for member in gateways),
+    )
+
+
+class SummaryTable:
+    """The newest summary of each zone."""
+
+    def __init__(self) -> None:
+        """Creates a table without summaries."""
+        self._summaries: dict[str, messages.ZoneSummary] = {}
+        self._received: dict[str, float] = {}
+
+    @property
+    def summaries(self) -> dict[str, messages.ZoneSummary]:
+        """The newest summaries by zone."""
+        return self._summaries
+
+    def age_s(self, zone: str, now: float) -> float:
+        """Returns the time since the summary of a zone came, in seconds."""
+        return now - self._received[zone]
+
+    def known(self) -> tuple[messages.ZoneSequence, ...]:
+        """Returns the sequence of each summary."""
+        return tuple(
+            messages.ZoneSequence(summary.zone, summary.sequence_ms)
+            for summary in self._summaries.values()
+        )
+
+    def later_than(
+        self, known: Iterable[messages.ZoneSequence]
+    ) -> tuple[messages.ZoneSummary, ...]:
+        """Returns the summaries that another daemon does not have yet."""
+        sequences = {entry.zone: entry.sequence_ms for entry in known}
+        return tuple(
+            summary
+            for summary in self._summaries.values()
+            if summary.sequence_ms > sequences.get(summary.zone, 0)
+        )
+
+    def merge(
+        self, summaries: Iterable[messages.ZoneSummary], now: float
+    ) -> list[messages.ZoneSummary]:
+        """Takes the summaries with a higher sequence; returns those."""
+        taken = []
+        for summary in summaries:
+            known = self._summaries.get(summary.zone)
+            if known and known.sequence_ms >= summary.sequence_ms:
+                continue
+            self._summaries[summary.zone] = summary
+            self._received[summary.zone] = now
+            taken.append(summary)
+        return taken
+
+    def issue(
+        self, fresh: messages.ZoneSummary, now: float, now_ms: int
+    ) -> messages.ZoneSummary | None:
+        """Takes a summary of the own zone if it differs or is due.
+
+        Returns:
+            The summary with its sequence, or None if it says nothing new.
+        """
+        known = self._summaries.get(fresh.zone)
+        if known is not None:
+            fresh = fresh._replace(sequence_ms=known.sequence_ms)
+            is_due = self.age_s(fresh.zone, now) >= RENEWAL_S
+            if fresh == known and not is_due:
+                return None
+        # The clock of an earlier gateway may have been ahead of this one.
+        sequence = max(now_ms, fresh.sequence_ms + 1)
+        issued = fresh._replace(sequence_ms=sequence)
+        self.merge([issued], now)
+        return issued
+
+    def remote(
+        self, service: str, own_zone: str, now: float
+    ) -> list[RemoteWorker]:
+        """Returns the workers of a service in other zones."""
+        return [
+            RemoteWorker(
+                summary.zone,
+                summary.region,
+                address,
+                service,
+                entry.serving,
+                entry.free_slots,
+            )
+            for summary in self._summaries.values()
+            if summary.zone != own_zone
+            and self.age_s(summary.zone, now) < EXPIRY_S
+            for entry in summary.services
+            if entry.service == service
+            for address in entry.addresses
+        ]
--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -4,6 +4,7 @@
 
 from rattangauge.calls import exchange
 from rattangauge.config import routes
+from rattangauge.generated import messages
 
 OTHER_TENANT = "other"
 
@@ -33,6 +34,30 @@
     ("direction",),
 )
 
+_CONTROL_SENT = CONTROL_BYTES.labels("sent")
+_CONTROL_RECEIVED = CONTROL_BYTES.labels("received")
+_CALL_MESSAGES = (
+    messages.CallOpen,
+    messages.CallData,
+    messages.CallCancel,
+    messages.Credit,
+    messages.AnswerOpen,
+    messages.AnswerData,
+    messages.AnswerFailed,
+)
+
+
+def observe_sent(message: messages.Message, size: int) -> None:
+    """Counts the bytes of a frame that was sent, unless it is of a call."""
+    if not isinstance(message, _CALL_MESSAGES):
+        _CONTROL_SENT.inc(size)
+
+
+def observe_received(message: messages.Message, size: int) -> None:
+    """Counts the bytes of a frame that came, unless it is of a call."""
+    if not isinstance(message, _CALL_MESSAGES):
+        _CONTROL_RECEIVED.inc(size)
+
 
 def observe_call(
     request: exchange.Request | None,
--- a/rattangauge/net/follow.py
+++ b/rattangauge/net/follow.py
@@ -1,78 +1,122 @@
-"""Follows the configuration in the platform's store."""
+"""Follows the head of the configuration in the store, as a gateway."""
+
+import random as random_module
 
 import anyio
 
 from rattangauge import errors
-from rattangauge import events as events_module
 from rattangauge import log
-from rattangauge import metrics
 from rattangauge import settings as settings_module
-from rattangauge.config import edition as edition_module
 from rattangauge.config import head as head_module
+from rattangauge.config import pulls
 from rattangauge.config import versions
+from rattangauge.generated import errorcodes
+from rattangauge.membership import members
 from rattangauge.net import platform
-from rattangauge.net import router as router_module
+from rattangauge.net import spread as spread_module
 
-RETRY_S = 0.5
+GATEWAY_CHECK_S = 0.25
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 8.0
+FIRST_WATCH_S = 0.1
 
 
 class Follower:
-    """Keeps the newest edition in force."""
+    """Watches the head while the daemon is a gateway of its zone."""
 
     def __init__(
         self,
         settings: settings_module.Settings,
         store: platform.Store,
-        router: router_module.Router,
-        events: events_module.Events,
+        table: members.MemberTable,
+        spread: spread_module.Spread,
     ) -> None:
         """Creates the follower; ``run`` starts it."""
         self._settings = settings
         self._store = store
-        self._router = router
-        self._events = events
-        self._current: edition_module.Edition | None = None
+        self._members = table
+        self._spread = spread
+        self._random = random_module.Random()
+        self._reachable: bool | None = None
 
     @property
-    def current(self) -> edition_module.Edition | None:
-        """Edition in force, if any."""
-        return self._current
+    def store_reachable(self) -> bool | None:
+        """Whether the last call succeeded; None if this is no gateway."""
+        return self._reachable
+
+    async def run(self, joined: anyio.Event) -> None:
+        """Follows the head until cancelled.
+
+        Args:
+            joined: Set when the neighbours have told members and floor.
+        """
+        await joined.wait()
+        # Until the zone's members know one another, each would be a gateway.
+        period_s = self._settings.mesh.ping_period_s
+        await anyio.sleep(period_s * self._random.uniform(1.0, 2.0))
+        while True:
+            if not self._members.is_gateway:
+                self._reachable = None
+                await anyio.sleep(GATEWAY_CHECK_S)
+                continue
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._follow)
+                await self._wait_while_gateway()
+                tasks.cancel_scope.cancel()
 
-    async def run(self) -> None:
-        """Follows the head object until cancelled."""
+    async def _wait_while_gateway(self) -> None:
+        while self._members.is_gateway:
+            await anyio.sleep(GATEWAY_CHECK_S)
+
+    async def _follow(self) -> None:
         seen = 0
+        failures = 0
         while True:
             try:
-                stored = await self._store.watch(
-                    head_module.PATH, seen, self._settings.platform.watch_s
+                seen = await self._step(seen)
+                failures = 0
+                self._reachable = True
+            except errors.CodedError as error:
+                failures += 1
+                self._reachable = False
+                wait_s = pulls.backoff_s(
+                    failures, self._random, FIRST_RETRY_S, MAX_RETRY_S
+                )
+                log.logger.warning(
+                    "cannot follow the store, next try in {:.1f} s: {}",
+                    wait_s,
+                    error,
                 )
-                if stored is None:
-                    await anyio.sleep(0.05)
-                    continue
-                await self._take(head_module.parse(stored.data))
-                seen = stored.version
-            except (errors.CodedError, errors.FindingsError) as error:
-                log.logger.warning("cannot follow the store: {}", error)
-                await anyio.sleep(RETRY_S)
+                await anyio.sleep(wait_s)
+
+    async def _step(self, seen: int) -> int:
+        """Waits for a head; returns the version of its object."""
+        watch_s = self._settings.platform.watch_s
+        if not self._reachable:
+            # A short watch shows soon whether the store answers at all.
+            watch_s = FIRST_WATCH_S
+        stored = await self._store.watch(head_module.PATH, seen, watch_s)
+        if stored is None:
+            await anyio.sleep(0.05)
+            return seen
+        await self._take(head_module.parse(stored.data))
+        return stored.version
 
     async def _take(self, head: head_module.Head) -> None:
-        decision = versions.decide(self._current, head.version, head.digest, 0)
-        if decision is not versions.Decision.ADOPT:
+        holder = self._spread.holder
+        if not holder.wants(head.version, head.digest):
+            # Records why the head is not taken: older, a fork or refused.
+            offered = versions.Offered(head.version, head.digest, b"")
+            if holder.judge(head.version, head.digest).code:
+                self._spread.take(offered, "")
             return
         pieces = []
         for digest in head.parts:
             stored = await self._store.get(head_module.part_path(digest))
-            pieces.append(stored.data if stored else b"")
+            if stored is None:
+                text = f"version {head.version} lacks a part"
+                path = head_module.part_path(digest)
+                raise errors.CodedError(errorcodes.STORE_PROTOCOL, text, path)
+            pieces.append(stored.data)
         data = b"".join(pieces)
-        self.adopt(edition_module.decode(head.version, head.digest, data))
-
-    def adopt(self, edition: edition_module.Edition) -> None:
-        """Puts an edition in force in one step."""
-        self._current = edition
-        self._router.use(edition)
-        metrics.VERSION.set(edition.version)
-        self._events.record(
-            f"version {edition.version}",
-            "put in force",
-            f"it is newer and complete, digest {edition.digest[:12]}",
-        )
+        self._spread.take(versions.Offered(head.version, head.digest, data), "")
--- a/rattangauge/net/frames.py
+++ b/rattangauge/net/frames.py
@@ -6,6 +6,7 @@
 from anyio.streams import buffered
 
 from rattangauge import errors
+from rattangauge import metrics
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 
@@ -80,4 +81,6 @@
     except (anyio.IncompleteRead, anyio.EndOfStream) as error:
         text = "the connection ended inside a frame"
         raise errors.CodedError(errorcodes.FRAME_TRUNCATED, text) from error
-    return unpack(payload)
+    number, message = unpack(payload)
+    metrics.observe_received(message, HEAD.size + len(payload))
+    return number, message
--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -18,6 +18,7 @@
 import loguru
 
 from rattangauge import errors
+from rattangauge import metrics
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.generated import errorcodes
@@ -211,6 +212,7 @@
                 # A cancelled sender must not leave half a frame behind.
                 with anyio.CancelScope(shield=True):
                     await self._bytes.send(frame)
+            metrics.observe_sent(message, len(frame))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             text = "the connection ended while sending"
             self._fail(errors.CodedError(errorcodes.LINK_CLOSED, text))
--- a/rattangauge/net/router.py
+++ b/rattangauge/net/router.py
@@ -94,5 +94,12 @@
             ]
             if candidates:
                 return random.choice(candidates)
+            remote = [
+                worker
+                for worker in self._members.remote(pool.announces)
+                if not pool.zones or worker.zone in pool.zones
+            ]
+            if remote:
+                return messages.Member(mesh=random.choice(remote).mesh)
         text = f"no upstream of {target.service.name} is known"
         raise exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text, 1000)
--- /dev/null
+++ b/rattangauge/net/statuswriter.py
@@ -0,0 +1,150 @@
+"""Writes the status of the zone to the store, as its first gateway."""
+
+import json
+import random as random_module
+from typing import Any
+
+import anyio
+
+from rattangauge import errors
+from rattangauge import log
+from rattangauge import metrics
+from rattangauge import settings as settings_module
+from rattangauge import util
+from rattangauge.config import pulls
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.membership import members
+from rattangauge.membership import status
+from rattangauge.net import follow
+from rattangauge.net import platform
+
+CHECK_PERIOD_S = 0.1
+MAX_RETRY_S = 30.0
+
+
+class StatusWriter:
+    """Knows the status of the zone and writes it if it changed."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        store: platform.Store,
+        table: members.MemberTable,
+        follower: follow.Follower,
+    ) -> None:
+        """Creates the writer; ``run`` starts it."""
+        self._settings = settings
+        self._store = store
+        self._members = table
+        self._follower = follower
+        self._random = random_module.Random()
+        self._progress = status.Progress()
+        self._written: dict[str, Any] = {}
+        # Version of the status object; None if it must be read first.
+        self._stored_version: int | None = None
+
+    def build(self) -> status.ZoneStatus:
+        """Returns the status of the zone now."""
+        return status.build(
+            self._members,
+            self._progress,
+            self._follower.store_reachable,
+            anyio.current_time(),
+            util.now_ms(),
+        )
+
+    def view(self) -> dict[str, Any]:
+        """Returns the status with the daemon's own view."""
+        own = self._members.own
+        return {
+            **self.build(),
+            "instance": own.instance,
+            "version": own.version,
+            "members": [
+                {
+                    **member._asdict(),
+                    "state": member.state.name.lower(),
+                    "upstream": member.upstream.name.lower(),
+                }
+                for member in self._members.members.values()
+            ],
+            "gateways": [m.instance for m in self._members.gateways],
+            "summaries": self._summaries(),
+        }
+
+    def _summaries(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "zone": summary.zone,
+                "region": summary.region,
+                "sequence_ms": summary.sequence_ms,
+                "members": summary.members,
+                "version": summary.version,
+                "services": {e.service: e.serving for e in summary.services},
+                "gateways": list(summary.gateways),
+            }
+            for summary in self._members.summaries.summaries.values()
+        ]
+
+    async def run(self) -> None:
+        """Follows the progress and writes until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write_all)
+            while True:
+                self._observe()
+                await anyio.sleep(CHECK_PERIOD_S)
+
+    def _observe(self) -> None:
+        live = self._members.live
+        self._progress = status.advance(self._progress, live, util.now_ms())
+        counts = dict.fromkeys(messages.MemberState, 0)
+        for member in self._members.members.values():
+            counts[member.state] += 1
+        for state, count in counts.items():
+            metrics.MEMBERS.labels(state.name.lower()).set(count)
+
+    async def _write_all(self) -> None:
+        failures = 0
+        while True:
+            period_s = self._settings.platform.status_period_s
+            await anyio.sleep(period_s)
+            # A gateway that has not heard from the store yet does not write.
+            if not self._members.is_first_gateway or (
+                self._follower.store_reachable is None
+            ):
+                self._stored_version = None
+                continue
+            try:
+                await self._write()
+                failures = 0
+            except errors.CodedError as error:
+                failures += 1
+                self._stored_version = None
+                log.logger.warning("cannot write the status: {}", error)
+                wait_s = pulls.backoff_s(
+                    failures, self._random, period_s, MAX_RETRY_S
+                )
+                await anyio.sleep(wait_s)
+
+    async def _write(self) -> None:
+        current = self.build()
+        content = status.without_times(current)
+        if content == self._written and self._stored_version is not None:
+            return
+        path = f"status/{self._members.own.zone}"
+        if self._stored_version is None:
+            stored = await self._store.get(path)
+            self._stored_version = stored.version if stored else 0
+        data = json.dumps(current).encode()
+        try:
+            self._stored_version = await self._store.put(
+                path, data, self._stored_version
+            )
+        except errors.CodedError as error:
+            if error.code == errorcodes.STORE_CONFLICT:
+                # The gateway before this one still writes; read again.
+                self._stored_version = None
+                return
+            raise
+        self._written = content
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -16,13 +16,17 @@
 from rattangauge.net import forward
 from rattangauge.net import gossip as gossip_module
 from rattangauge.net import ingress
+from rattangauge.net import join
 from rattangauge.net import links as links_module
 from rattangauge.net import operators
 from rattangauge.net import platform
 from rattangauge.net import router as router_module
 from rattangauge.net import servers
+from rattangauge.net import spread as spread_module
+from rattangauge.net import statuswriter
 from rattangauge.net import upstream
 from rattangauge.net import worker as worker_module
+from rattangauge.net import zones as zones_module
 
 
 def _own_record(settings: settings_module.Settings) -> messages.Member:
@@ -55,11 +59,30 @@
         self._router = router_module.Router(
             self._links, self._members, self._worker
         )
+        self._spread = spread_module.Spread(
+            settings,
+            self._members,
+            self._links,
+            self._events,
+            self._router.use,
+        )
         self._gossip = gossip_module.Gossip(
-            settings, self._members, self._links, self._worker
+            settings,
+            self._members,
+            self._links,
+            self._worker,
+            self._spread,
+            self._events,
         )
+        self._spread.notify(self._gossip.refresh_own)
+        exchange = settings, self._members, self._links, self._gossip
+        self._joining = join.Joining(*exchange, self._spread)
+        self._zones = zones_module.Zones(*exchange, self._spread)
         self._follower = follow.Follower(
-            settings, store, self._router, self._events
+            settings, store, self._members, self._spread
+        )
+        self._status_writer = statuswriter.StatusWriter(
+            settings, store, self._members, self._follower
         )
 
     async def run(self) -> None:
@@ -68,7 +91,11 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(servers.serve_mesh, self._handle, settings)
             tasks.start_soon(self._gossip.run)
-            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._joining.run)
+            tasks.start_soon(self._spread.run, self._joining.joined)
+            tasks.start_soon(self._zones.run, self._joining.joined)
+            tasks.start_soon(self._follower.run, self._joining.joined)
+            tasks.start_soon(self._status_writer.run)
             tasks.start_soon(
                 servers.serve_http,
                 operators.application(self._endpoints()),
@@ -83,10 +110,12 @@
                 settings,
                 self._stop,
             )
+            await self._gossip.leave()
             tasks.cancel_scope.cancel()
 
     def stop(self) -> None:
         """Starts a graceful shutdown."""
+        self._gossip.drain()
         self._stop.set()
 
     async def _handle(
@@ -95,7 +124,15 @@
         if isinstance(message, messages.CallOpen):
             await forward.serve(stream, message, self._worker.run)
         elif isinstance(message, messages.JoinRequest):
-            await self._gossip.answer_join(stream, message)
+            await self._joining.answer(stream, message)
+        elif isinstance(message, messages.Probe):
+            await self._gossip.answer_probe(stream, message)
+        elif isinstance(message, messages.ZoneExchange):
+            await self._zones.answer(stream, message)
+        elif isinstance(message, messages.VersionHint):
+            await self._spread.answer_hint(stream, message)
+        elif isinstance(message, messages.EditionRequest):
+            await self._spread.serve(stream, message)
 
     def _endpoints(self) -> dict[tuple[str, str], operators.Endpoint]:
         return {
@@ -116,17 +153,7 @@
         return operators.json_reply({"version": version}, status)
 
     async def _status(self, _query: Any, _body: bytes) -> operators.Reply:
-        records = [
-            {
-                **member._asdict(),
-                "state": member.state.name.lower(),
-                "upstream": member.upstream.name.lower(),
-            }
-            for member in self._members.members.values()
-        ]
-        return operators.json_reply(
-            {"version": self._router.version, "members": records}
-        )
+        return operators.json_reply(self._status_writer.view())
 
     async def _explain(
         self, query: dict[str, str], _body: bytes
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -120,21 +120,25 @@
   members @3 :UInt32;
   version @4 :UInt64;     # lowest version in force among the members
   services @5 :List(ServiceSummary);
+  gateways @6 :List(Text);  # mesh addresses of the gateways
 }
+struct ZoneSequence { zone @0 :Text; sequenceMs @1 :UInt64; }
 
 # Membership ping; a target asks the receiver to ping that address instead.
 struct Probe {
-  sender @0 :Text;
+  sender @0 :Text;      # mesh address
   target @1 :Text;
   version @2 :UInt64;
   digest @3 :Text;
   updates @4 :List(Member);
+  instance @5 :Text;    # of the sender
 }
 struct ProbeAck {
   reached @0 :Bool;
   version @1 :UInt64;
   digest @2 :Text;
   updates @3 :List(Member);
+  instance @4 :Text;    # that answered, or was reached for another
 }
 struct JoinRequest { member @0 :Member; }
 struct JoinReply {
@@ -160,4 +164,6 @@
   version @0 :UInt64;
   digest @1 :Text;
   summaries @2 :List(ZoneSummary);
+  known @3 :List(ZoneSequence);  # the answer has only later summaries
+  mesh @4 :Text;        # of the sender
 }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -294,8 +294,14 @@
                 for member in status["members"]
                 if member["service"] == service
                 and member["upstream"] == "serving"
+                and member["state"] in ("alive", "suspect")
             ]
-            return len(serving) >= count
+            remote = [
+                summary["services"].get(service, 0)
+                for summary in status["summaries"]
+                if summary["zone"] != status["zone"]
+            ]
+            return len(serving) + sum(remote) >= count
         return False
 
 
