Test distribution and membership under failures

Cause: the exchange of editions and member records had no tests of its own. Three faults came to light. A daemon without a configuration pulled version 0 from its neighbours every 200 ms. A resumed daemon that took a version before it refuted its death stayed dead for the others, because its own counter was already higher.

Ruled out: sending version updates with low priority in probes, because one change alters the records of all members and would delay news of failures.

Change: versions travel with probes, acknowledgements and hints and are noted by address; a summary whose versions alone changed is issued at most every 10 s and not pushed; the second gateway leaves the first one 250 ms to spread an edition before it reads the store; a wrong belief is answered even if the own counter is higher.

--- a/rattangauge/config/versions.py
+++ b/rattangauge/config/versions.py
@@ -139,7 +139,7 @@
 
     def wants(self, version: int, digest: str) -> bool:
         """Tells whether an edition should be fetched."""
-        if (version, digest) in self._refused:
+        if not version or (version, digest) in self._refused:
             return False
         decision = decide(self._current, version, digest, self._floor)
         return decision is Decision.ADOPT
--- a/rattangauge/membership/members.py
+++ b/rattangauge/membership/members.py
@@ -41,8 +41,6 @@
         masked = self.old._replace(
             counter=self.new.counter,
             version=self.new.version,
-            rejected_version=self.new.rejected_version,
-            rejected_code=self.new.rejected_code,
         )
         return masked == self.new
 
@@ -65,6 +63,15 @@
     return member.incarnation, member.counter, _RANK[member.state]
 
 
+def _keep_version(
+    known: messages.Member | None, record: messages.Member
+) -> messages.Member:
+    """Keeps a version that the process reported after the record was made."""
+    if known is None or known.incarnation != record.incarnation:
+        return record
+    return record._replace(version=max(known.version, record.version))
+
+
 class MemberTable:
     """Members that a daemon knows, with its own record."""
 
@@ -143,16 +150,21 @@
             known = self._members.get(record.instance)
             if known is None and record.state not in _USABLE:
                 continue
-            self.report(record.mesh, record.version)
+            self._raise_floor(record.mesh, record.version)
             if known is None or order(record) > order(known):
-                self._members[record.instance] = record
+                kept = _keep_version(known, record)
+                self._members[record.instance] = kept
                 self._heard[record.instance] = now
-                changes.append(Change(known, record))
+                changes.append(Change(known, kept))
         return changes
 
     def _defend(self, record: messages.Member) -> list[Change]:
         """Replaces what others believe of this daemon if it is outdated."""
         if order(record) <= order(self._own):
+            # The record may have been raised by a version, which is not
+            # spread; then the daemons that hold a wrong belief lack it.
+            if record.state is not self._own.state:
+                return [Change(record, self._own)]
             return []
         old = self._own
         if record.incarnation > old.incarnation:
@@ -193,7 +205,14 @@
         return now - self._heard.get(instance, now)
 
     def report(self, address: str, version: int) -> None:
-        """Remembers a version that a mesh address reported."""
+        """Notes a version that a mesh address reported of itself."""
+        self._raise_floor(address, version)
+        for instance, member in self._members.items():
+            if member.mesh == address and member.version < version:
+                self._members[instance] = member._replace(version=version)
+                break
+
+    def _raise_floor(self, address: str, version: int) -> None:
         highest = max(version, self._floors.pop(address, 0))
         if not highest:
             return
--- a/rattangauge/membership/probing.py
+++ b/rattangauge/membership/probing.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 import math
 import random as random_module
-from typing import NamedTuple
 
 from rattangauge.generated import messages
 
@@ -14,75 +13,51 @@
 # the size of its zone.
 UPDATES_PER_MESSAGE = 8
 HELPERS = 2
-# A version only informs the status, and gateways are told directly, so such
-# an update is passed on less often than a change of state.
-MINOR_TRANSMISSIONS = 2
 TRANSMISSION_FACTOR = 3
 
 
-class _Update(NamedTuple):
-    """A record that is to be passed on."""
-
-    member: messages.Member
-    minor: bool
-    sent: int
-
-
 class UpdateQueue:
     """Records that other members may not know yet."""
 
     def __init__(self) -> None:
         """Creates an empty queue."""
-        self._updates: dict[str, _Update] = {}
+        self._updates: dict[str, messages.Member] = {}
+        self._sent: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Number of records that wait."""
         return len(self._updates)
 
-    def add(self, member: messages.Member, minor: bool = False) -> None:
-        """Adds a record; it replaces an older one of its instance.
-
-        Args:
-            member: The record.
-            minor: Whether only its version differs from the one before.
-        """
-        waiting = self._updates.get(member.instance)
-        minor = minor and (waiting is None or waiting.minor)
-        self._updates[member.instance] = _Update(member, minor, 0)
+    def add(self, member: messages.Member) -> None:
+        """Adds a record; it replaces an older one of its instance."""
+        self._updates[member.instance] = member
+        self._sent[member.instance] = 0
 
     def remove(self, instance: str) -> None:
         """Removes the record of an instance."""
         self._updates.pop(instance, None)
+        self._sent.pop(instance, None)
 
     def take(
         self, members: int, first: Iterable[messages.Member] = ()
     ) -> tuple[messages.Member, ...]:
-        """Returns the records for one message.
+        """Returns the records for one message, the least sent ones first.
 
         Args:
             members: Size of the zone; it bounds how often a record is sent.
             first: Records that the receiver needs in any case.
         """
+        limit = TRANSMISSION_FACTOR * math.ceil(math.log2(members + 1))
         chosen = {member.instance: member for member in first}
-        waiting = sorted(
-            self._updates.items(), key=lambda item: (item[1][1], item[1][2])
-        )
-        for instance, update in waiting:
+        for instance in sorted(self._sent, key=self._sent.__getitem__):
             if len(chosen) >= UPDATES_PER_MESSAGE:
                 break
-            chosen.setdefault(instance, update.member)
-            self._count(instance, update, members)
+            chosen.setdefault(instance, self._updates[instance])
+            self._sent[instance] += 1
+            if self._sent[instance] >= limit:
+                self.remove(instance)
         return tuple(chosen.values())
 
-    def _count(self, instance: str, update: _Update, members: int) -> None:
-        limit = TRANSMISSION_FACTOR * math.ceil(math.log2(members + 1))
-        if update.minor:
-            limit = MINOR_TRANSMISSIONS
-        if update.sent + 1 >= limit:
-            del self._updates[instance]
-        else:
-            self._updates[instance] = update._replace(sent=update.sent + 1)
-
 
 class ProbeOrder:
     """Probes all members in a random order before any is probed again."""
--- a/rattangauge/membership/summary.py
+++ b/rattangauge/membership/summary.py
@@ -8,6 +8,8 @@
 ADDRESSES_PER_SERVICE = 4
 # A summary is renewed after this time even if nothing has changed.
 RENEWAL_S = 60.0
+# Versions change often and only matter to daemons that restart.
+VERSION_RENEWAL_S = 10.0
 # A zone whose summary was not renewed for this time is not used any more.
 EXPIRY_S = 3 * RENEWAL_S
 
@@ -74,6 +76,14 @@
     )
 
 
+def is_version_only(
+    old: messages.ZoneSummary, new: messages.ZoneSummary
+) -> bool:
+    """Tells whether two summaries say the same of the services of a zone."""
+    masked = old._replace(version=new.version, sequence_ms=new.sequence_ms)
+    return masked == new
+
+
 class SummaryTable:
     """The newest summary of each zone."""
 
@@ -112,7 +122,11 @@
     def merge(
         self, summaries: Iterable[messages.ZoneSummary], now: float
     ) -> list[messages.ZoneSummary]:
-        """Takes the summaries with a higher sequence; returns those."""
+        """Takes the summaries with a higher sequence.
+
+        Returns:
+            Those that say something new of services; they are worth pushing.
+        """
         taken = []
         for summary in summaries:
             known = self._summaries.get(summary.zone)
@@ -120,7 +134,8 @@
                 continue
             self._summaries[summary.zone] = summary
             self._received[summary.zone] = now
-            taken.append(summary)
+            if known is None or not is_version_only(known, summary):
+                taken.append(summary)
         return taken
 
     def issue(
@@ -129,19 +144,20 @@
         """Takes a summary of the own zone if it differs or is due.
 
         Returns:
-            The summary with its sequence, or None if it says nothing new.
+            The summary if it says something new of services, or None.
         """
         known = self._summaries.get(fresh.zone)
         if known is not None:
             fresh = fresh._replace(sequence_ms=known.sequence_ms)
-            is_due = self.age_s(fresh.zone, now) >= RENEWAL_S
-            if fresh == known and not is_due:
+            age_s = self.age_s(fresh.zone, now)
+            if fresh == known and age_s < RENEWAL_S:
+                return None
+            if is_version_only(known, fresh) and age_s < VERSION_RENEWAL_S:
                 return None
         # The clock of an earlier gateway may have been ahead of this one.
         sequence = max(now_ms, fresh.sequence_ms + 1)
         issued = fresh._replace(sequence_ms=sequence)
-        self.merge([issued], now)
-        return issued
+        return issued if self.merge([issued], now) else None
 
     def remote(
         self, service: str, own_zone: str, now: float
--- a/rattangauge/net/follow.py
+++ b/rattangauge/net/follow.py
@@ -19,6 +19,9 @@
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 8.0
 FIRST_WATCH_S = 0.1
+# Time that the second gateway leaves the first one to read the edition.
+TOLD_CHECKS = 10
+TOLD_CHECK_S = 0.025
 
 
 class Follower:
@@ -110,6 +113,8 @@
             if holder.judge(head.version, head.digest).code:
                 self._spread.take(offered, "")
             return
+        if not self._members.is_first_gateway and await self._is_told(head):
+            return
         pieces = []
         for digest in head.parts:
             stored = await self._store.get(head_module.part_path(digest))
@@ -120,3 +125,11 @@
             pieces.append(stored.data)
         data = b"".join(pieces)
         self._spread.take(versions.Offered(head.version, head.digest, data), "")
+
+    async def _is_told(self, head: head_module.Head) -> bool:
+        """Waits a moment for the first gateway to spread the edition."""
+        for _ in range(TOLD_CHECKS):
+            await anyio.sleep(TOLD_CHECK_S)
+            if not self._spread.holder.wants(head.version, head.digest):
+                return True
+        return False
--- a/rattangauge/net/gossip.py
+++ b/rattangauge/net/gossip.py
@@ -120,7 +120,9 @@
     def _note(self, changes: list[members.Change]) -> None:
         now = anyio.current_time()
         for change in changes:
-            self._queue.add(change.new, change.is_minor)
+            # Versions spread with probes and reports, without the record.
+            if not change.is_minor:
+                self._queue.add(change.new)
             self._set_timers(change.new, now)
             self._record(change)
             if change.is_urgent:
@@ -337,19 +339,17 @@
             await anyio.sleep(REFRESH_S / 10)
 
     async def _report(self, gateway: messages.Member) -> None:
-        own = self._members.own
-        probe = messages.Probe(
-            sender=own.mesh,
-            version=own.version,
-            digest=self._spread.holder.digest,
-            updates=(own,),
-            instance=own.instance,
+        version, digest = (
+            self._spread.holder.version,
+            self._spread.holder.digest,
         )
+        own = self._members.own.mesh
+        report = messages.VersionHint(version, digest, own)
         timeout_s = self._settings.mesh.ping_timeout_s
         try:
-            ack = await self._links.request(gateway.mesh, probe, timeout_s)
+            ack = await self._links.request(gateway.mesh, report, timeout_s)
         except errors.CodedError as error:
             log.logger.debug("no report to {}: {}", gateway.mesh, error)
             return
-        if isinstance(ack, messages.ProbeAck):
-            self.merge(ack.updates)
+        if isinstance(ack, messages.VersionAck):
+            self._spread.offer(ack.version, ack.digest, gateway.mesh)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -44,3 +44,9 @@
         "slots": 9,
     }
     return messages.Member(instance, **{**values, **fields})
+
+
+def encoded(objects: objects_module.ObjectSet) -> tuple[str, bytes]:
+    """Returns the digest and the data of an encoded set, unchecked."""
+    data = edition_module.encode(objects)
+    return edition_module.digest_of(data), data
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,225 @@
+"""Differential test of the distribution decisions against a naive version."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from rattangauge.config import check
+from rattangauge.config import delta
+from rattangauge.config import edition as edition_module
+from rattangauge.config import pulls
+from rattangauge.config import versions
+from rattangauge.generated import objects as generated
+from tests import builders
+
+PROXIES = 4
+
+
+class Naive:
+    """Reads the whole set at each step and takes it if it is newer."""
+
+    def __init__(self):
+        """Creates a proxy without an edition."""
+        self.current = None
+
+    def read(self, offered):
+        """Takes what the store holds if it is newer and good."""
+        if self.current and offered.version <= self.current.version:
+            return
+        objects = check_and_decode(offered)
+        if objects is not None:
+            self.current = offered
+
+
+def check_and_decode(offered):
+    """Returns the objects if the data are whole and consistent."""
+    if edition_module.digest_of(offered.data) != offered.digest:
+        return None
+    try:
+        edition = edition_module.decode(*offered[:3])
+    except Exception:
+        return None
+    return edition.objects
+
+
+class Mesh:
+    """Proxies whose messages are delivered in any order, or not at all."""
+
+    def __init__(self, seed):
+        """Creates proxies without an edition."""
+        self.random = random.Random(seed)
+        self.head = None
+        self.published = {}
+        self.now = 0.0
+        self.holders = [versions.Holder() for _ in range(PROXIES)]
+        self.wanted = [pulls.Wanted() for _ in range(PROXIES)]
+        self.naive = [Naive() for _ in range(PROXIES)]
+        self.floors = [0] * PROXIES
+        self.inbox = []
+
+    def publish(self, services, bad):
+        """Writes an edition to the store, perhaps with a bad reference."""
+        version = len(self.published) + 1
+        names = tuple(f"s{index}" for index in range(services))
+        objects = builders.object_set(names, timeout_ms=version)
+        if bad:
+            route = generated.Route("bad", "missing", "/bad")
+            objects["route"]["bad"] = route
+        self.head = versions.Offered(version, *builders.encoded(objects))
+        self.published[version] = self.head, bad
+
+    def read_store(self, proxy):
+        """A gateway reads the head."""
+        if self.head is not None:
+            self.holders[proxy].take(self.head)
+
+    def hint(self, sender, receiver):
+        """A member tells another one of its version."""
+        holder = self.holders[sender]
+        if self.holders[receiver].wants(holder.version, holder.digest):
+            self.wanted[receiver].offer(
+                holder.version, holder.digest, str(sender)
+            )
+
+    def pull(self, proxy):
+        """A proxy asks a teller; the answer is under way from now on."""
+        self.now += 60.0
+        pull = self.wanted[proxy].next(self.now, self.random)
+        if pull is None:
+            return
+        holder = self.holders[proxy]
+        teller = self.holders[int(pull.address)]
+        if teller.current is None:
+            self.wanted[proxy].failed(pull.address, self.now, self.random)
+            return
+        data = teller.delta_from(holder.version, holder.digest)
+        is_delta = data is not None and not pull.whole
+        answer = versions.Offered(
+            teller.version,
+            teller.digest,
+            data if is_delta else teller.current.data,
+            is_delta,
+        )
+        self.inbox.append((proxy, pull.address, answer))
+
+    def deliver(self, position, damage, duplicate):
+        """Delivers any answer under way, perhaps damaged or twice."""
+        if not self.inbox:
+            return
+        proxy, address, answer = self.inbox.pop(position % len(self.inbox))
+        if duplicate:
+            self.inbox.append((proxy, address, answer))
+        if damage:
+            answer = answer._replace(data=answer.data[:-damage])
+        taken = self.holders[proxy].take(answer)
+        if taken.decision is versions.Decision.ADOPT:
+            self.wanted[proxy].clear()
+        else:
+            self.wanted[proxy].failed(address, self.now, self.random)
+
+    def restart(self, proxy):
+        """A proxy starts again; a neighbour returns its floor."""
+        self.holders[proxy] = versions.Holder()
+        self.wanted[proxy] = pulls.Wanted()
+        self.holders[proxy].raise_floor(self.floors[proxy])
+
+    def check(self):
+        """Checks what must hold after every step."""
+        for proxy, holder in enumerate(self.holders):
+            if self.head is not None:
+                self.naive[proxy].read(self.head)
+            # The naive proxy is always up to date, so none can be ahead.
+            naive = self.naive[proxy].current
+            assert holder.version <= (naive.version if naive else 0)
+            if holder.current is None:
+                continue
+            edition = holder.current
+            # Versions never decrease, not even over a restart.
+            assert edition.version >= self.floors[proxy]
+            self.floors[proxy] = edition.version
+            # No dangling reference.
+            assert not check.check(edition.objects)
+            # The edition is whole: it is what was published.
+            published, bad = self.published[edition.version]
+            assert not bad
+            assert (edition.digest, edition.data) == published[1:3]
+
+    def settle(self):
+        """Lets all messages flow until every proxy was asked thrice."""
+        self.inbox.clear()
+        self.read_store(0)
+        for _ in range(3):
+            for proxy in range(1, PROXIES):
+                self.hint(0, proxy)
+                self.pull(proxy)
+                while self.inbox:
+                    self.deliver(0, 0, False)
+                self.check()
+
+
+_proxy = strategies.integers(0, PROXIES - 1)
+_step = strategies.one_of(
+    strategies.tuples(
+        strategies.just("publish"),
+        strategies.integers(1, 5),
+        strategies.booleans(),
+    ),
+    strategies.tuples(strategies.just("read_store"), _proxy),
+    strategies.tuples(strategies.just("hint"), _proxy, _proxy),
+    strategies.tuples(strategies.just("pull"), _proxy),
+    strategies.tuples(
+        strategies.just("deliver"),
+        strategies.integers(0, 9),
+        strategies.sampled_from((0, 0, 1, 20)),
+        strategies.booleans(),
+    ),
+    strategies.tuples(strategies.just("restart"), _proxy),
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(strategies.lists(_step, max_size=40), strategies.integers(0, 99))
+def test_histories_keep_the_invariants_and_converge(steps, seed):
+    """Guards P1 to P3 under crossed, lost, damaged and repeated messages.
+
+    At the end the newest good edition is published once more: all proxies
+    must then have what the naive proxies read.
+    """
+    mesh = Mesh(seed)
+    for name, *arguments in steps:
+        getattr(mesh, name)(*arguments)
+        mesh.check()
+    mesh.publish(3, False)
+    mesh.settle()
+    assert mesh.naive[0].current == mesh.head
+    for holder, naive in zip(mesh.holders, mesh.naive, strict=True):
+        assert (holder.version, holder.digest) == naive.current[:2]
+
+
+def test_delta_is_refused_by_an_empty_proxy():
+    """Guards against a crash on a delta that was meant for an older run."""
+    old, new = builders.edition(1), builders.edition(2)
+    offered = versions.Offered(2, new.digest, delta.make(old, new), True)
+    assert versions.Holder().take(offered).code == "edition.delta_base"
+
+
+def test_refused_teller_is_not_asked_before_its_time():
+    """Guards against a tight loop towards a busy daemon."""
+    wanted = pulls.Wanted()
+    rng = random.Random(1)
+    wanted.offer(2, "d", "a")
+    wanted.refused("a", 10.0, 0.2, rng)
+    assert wanted.next(10.1, rng) is None
+    assert wanted.next(10.4, rng).address == "a"
+
+
+def test_failures_back_off_with_jitter_and_a_limit():
+    """Guards against a storm of retries after a long outage."""
+    rng = random.Random(1)
+    waits = [pulls.backoff_s(count, rng) for count in range(1, 60)]
+    assert waits[0] <= pulls.FIRST_DELAY_S
+    assert max(waits) <= pulls.MAX_DELAY_S
+    assert min(waits[20:]) >= pulls.MAX_DELAY_S / 2
+    assert len(set(waits[20:])) > 30
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,196 @@
+"""Member records, probing, gateways, summaries and status."""
+
+import random
+
+from rattangauge.generated import messages
+from rattangauge.membership import gateways
+from rattangauge.membership import members
+from rattangauge.membership import probing
+from rattangauge.membership import status
+from rattangauge.membership import summary
+from tests import builders
+
+ALIVE, SUSPECT, DEAD, LEFT = messages.MemberState
+
+
+def _table(count=4):
+    table = members.MemberTable(builders.member("m0", mesh="127.0.1.1:1"))
+    table.merge(
+        builders.member(f"m{index}", mesh=f"127.0.1.1:{index + 1}")
+        for index in range(1, count)
+    )
+    return table
+
+
+def test_refutation_replaces_a_wrong_belief():
+    """Guards against a resumed daemon that stays dead for the others."""
+    table, other = _table(), _table()
+    other.mark("m0", DEAD)
+    changes = table.merge([table.own._replace(state=DEAD)])
+    assert table.own.state is ALIVE
+    assert changes[0].is_urgent
+    known = members.MemberTable(builders.member("m9"))
+    known.merge([builders.member("m0", mesh="127.0.1.1:1")])
+    known.mark("m0", DEAD)
+    known.merge([table.own])
+    assert known.members["m0"].state is ALIVE
+
+
+def test_wrong_belief_below_the_own_counter_is_answered():
+    """Guards against a resumed daemon that took a version before it refuted."""
+    table = _table()
+    believed = table.own._replace(state=DEAD)
+    table.set_own(table.own._replace(version=2))
+    changes = table.merge([believed])
+    assert changes[0].new == table.own
+    assert changes[0].is_urgent
+
+
+def test_new_incarnation_replaces_the_old():
+    """Guards against late records of a process that is gone."""
+    table = _table()
+    table.mark("m1", DEAD)
+    table.merge([builders.member("m1", incarnation=2)])
+    table.merge([builders.member("m1", counter=99, state=LEFT)])
+    assert table.members["m1"].incarnation == 2
+    assert table.members["m1"].state is ALIVE
+
+
+def test_old_process_does_not_outbid_its_replacement():
+    """Guards against two processes that raise their incarnations forever."""
+    table = _table()
+    before = table.own
+    table.merge([before._replace(incarnation=9, mesh="127.0.1.9:1")])
+    assert table.own == before
+    table.merge([before._replace(incarnation=9)])
+    assert table.own.incarnation == 10
+
+
+def test_serving_leaves_out_dead_and_draining():
+    """Guards against calls to an upstream that is gone or leaving."""
+    table = _table()
+    table.mark("m1", DEAD)
+    draining = messages.UpstreamState.DRAINING
+    record = table.members["m2"]._replace(counter=1, upstream=draining)
+    changes = table.merge([record])
+    assert changes[0].is_urgent
+    serving = {member.instance for member in table.serving("skladby")}
+    assert serving == {"m0", "m3"}
+
+
+def test_other_zones_and_unknown_dead_are_not_kept():
+    """Guards against a table that grows with the mesh or with its dead."""
+    table = _table()
+    table.merge([builders.member("x", zone="zone-2")])
+    table.merge([builders.member("y", state=DEAD)])
+    assert set(table.members) == {"m0", "m1", "m2", "m3"}
+
+
+def test_floor_is_the_highest_version_reported():
+    """Guards against a restart below the version that an address had."""
+    table = _table()
+    table.report("127.0.1.1:2", 7)
+    table.report("127.0.1.1:2", 5)
+    assert table.floor("127.0.1.1:2", "zone-1") == 7
+    zone = messages.ZoneSummary("zone-2", version=9, sequence_ms=1)
+    table.summaries.merge([zone], 0.0)
+    assert table.floor("127.0.2.1:1", "zone-2") == 9
+
+
+def test_messages_carry_at_most_eight_updates():
+    """Guards against probes that grow with the zone, and lost updates."""
+    queue = probing.UpdateQueue()
+    for index in range(20):
+        queue.add(builders.member(f"m{index}"))
+    seen = set()
+    for _ in range(3):
+        taken = queue.take(20, [builders.member("z", state=DEAD)])
+        assert len(taken) == probing.UPDATES_PER_MESSAGE
+        assert taken[0].instance == "z"
+        seen.update(member.instance for member in taken)
+    assert len(seen) == 21
+    while len(queue):
+        queue.take(20)
+
+
+def test_each_member_is_probed_once_a_round():
+    """Guards against a member that random choice never probes."""
+    order = probing.ProbeOrder()
+    rng = random.Random(3)
+    names = [f"m{index}" for index in range(9)]
+    assert sorted(order.next(names, rng) for _ in names) == names
+    assert order.next([], rng) is None
+
+
+def test_own_pause_does_not_expire_suspects():
+    """Guards against a resumed daemon that declares its zone dead."""
+    timers = probing.Timers()
+    timers.start("m1", 10.0)
+    timers.postpone(30.0)
+    assert timers.expired(41.0, 2.0) == []
+    assert timers.expired(42.0, 2.0) == ["m1"]
+
+
+def test_gateways_change_little_and_skip_the_dead():
+    """Guards against a zone without a watch after its gateway died."""
+    table = _table(8)
+    first, second = table.gateways
+    table.mark(first.instance, DEAD)
+    if first.instance != "m0":
+        assert table.gateways[0].instance == second.instance
+    assert len(gateways.gateways("zone-1", table.members.values())) == 2
+
+
+def test_old_summaries_lose():
+    """Guards against summaries that cross on their way between zones."""
+    table = summary.SummaryTable()
+    old = messages.ZoneSummary("zone-2", sequence_ms=1)
+    new = old._replace(sequence_ms=2, members=5)
+    assert table.merge([new], 0.0) == [new]
+    assert table.merge([old], 0.0) == []
+    assert table.summaries["zone-2"] == new
+    assert table.later_than([messages.ZoneSequence("zone-2", 2)]) == ()
+
+
+def test_summary_is_issued_on_change_and_ahead_of_other_clocks():
+    """Guards against a new gateway whose summaries are taken for old ones."""
+    table = _table()
+    fresh = summary.summarize(table.own, table.live, table.gateways)
+    issued = table.summaries.issue(fresh, 0.0, 1_000)
+    assert issued.services[0].serving == 4
+    assert issued.services[0].free_slots == 36
+    assert table.summaries.issue(fresh, 1.0, 2_000) is None
+    table.mark("m1", LEFT)
+    fresh = summary.summarize(table.own, table.live, table.gateways)
+    later = table.summaries.issue(fresh, 2.0, 500)
+    assert later.sequence_ms == 1_001
+
+
+def test_remote_workers_expire():
+    """Guards against calls to a zone that has not been heard of for long."""
+    table = summary.SummaryTable()
+    entry = messages.ServiceSummary("skladby", 1, 9, ("127.0.2.1:1",))
+    zone = messages.ZoneSummary("zone-2", "r", 1, 1, 1, (entry,))
+    table.merge([zone], 0.0)
+    worker = table.remote("skladby", "zone-1", 1.0)[0]
+    assert (worker.zone, worker.mesh) == ("zone-2", "127.0.2.1:1")
+    assert table.remote("skladby", "zone-2", 1.0) == []
+    assert table.remote("skladby", "zone-1", summary.EXPIRY_S + 1) == []
+
+
+def test_status_names_first_last_and_slowest():
+    """Guards against a status that reports convergence too early."""
+    table = _table(3)
+    table.report("127.0.1.1:2", 4)
+    progress = status.advance(status.Progress(), table.live, 100)
+    table.report("127.0.1.1:3", 4)
+    progress = status.advance(progress, table.live, 200)
+    assert (progress.first_ms, progress.all_ms) == (100, 0)
+    assert progress.slowest == "m0"
+    table.set_own(table.own._replace(version=4))
+    progress = status.advance(progress, table.live, 300)
+    assert progress == status.Progress(4, 100, 300, "m0")
+    built = status.build(table, progress, True, 1.0, 400)
+    later = status.build(table, progress, True, 2.0, 500)
+    assert built["lowest_version"] == built["highest_version"] == 4
+    assert status.without_times(built) == status.without_times(later)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -131,7 +131,12 @@
         path = self._folder / f"{name}.log"
         return path.read_text(errors="replace") if path.exists() else ""
 
-    async def _start(self, name: str, *arguments: str) -> None:
+    def clear_log(self, name: str) -> None:
+        """Removes what a process has written."""
+        (self._folder / f"{name}.log").unlink(missing_ok=True)
+
+    async def start_module(self, name: str, *arguments: str) -> None:
+        """Starts a Python module as a process, with its arguments."""
         command = [sys.executable, "-m", *arguments]
         with (self._folder / f"{name}.log").open("ab") as output:
             self._processes[name] = await anyio.open_process(
@@ -140,7 +145,7 @@
 
     async def start_platform(self) -> None:
         """Starts the platform stand-in and waits until it answers."""
-        await self._start(
+        await self.start_module(
             "platform", "standins.platform", self.platform_address
         )
         await wait_for_http(f"{self.platform_url}/counters")
@@ -183,14 +188,16 @@
             sections[section] = {**sections.get(section, {}), **values}
         path = self._folder / f"{name}.toml"
         path.write_text(format_settings(sections))
-        await self._start(name, "rattangauge.daemon", "--settings", str(path))
+        await self.start_module(
+            name, "rattangauge.daemon", "--settings", str(path)
+        )
 
     async def start_upstream(self, name: str) -> None:
         """Starts the upstream stand-in of a worker."""
         worker, ports = self._workers[name], self._ports[name]
         if not worker.service:
             return
-        await self._start(
+        await self.start_module(
             f"{name}.upstream",
             "standins.upstream",
             f"--service={worker.service}",
@@ -347,8 +354,12 @@
 
 async def put_edition(
     url: str, version: int, objects: objects_module.ObjectSet
-) -> None:
-    """Writes an edition to the store without checking it."""
+) -> int:
+    """Writes an edition to the store without checking it.
+
+    Returns:
+        When the head was written, in milliseconds since 1970.
+    """
     data = edition_module.encode(objects)
     digest = edition_module.digest_of(data)
     parts = edition_module.split(data)
@@ -366,4 +377,6 @@
         head = head_module.Head(version, digest, digests, "", (entry,))
         data = head_module.format_head(head)
         expected = old.version if old else 0
+        written_ms = util.now_ms()
         await store.put(head_module.PATH, data, expected)
+    return written_ms
