--- a/rattangauge/net/gossip.py
+++ b/rattangauge/net/gossip.py
@@ -54,6 +54,7 @@
         self._urgent = anyio.Event()
         self._reported = anyio.Event()
         self._changed = anyio.Event()
+        self._told: list[str] = []
         self._draining = False
         self._stalled = False
 
@@ -167,6 +168,14 @@
             last = now
             self.refresh_own()
             self._expire(now)
+            self._follow_gateways()
+
+    def _follow_gateways(self) -> None:
+        """Reports the own version again if a gateway was replaced."""
+        instances = [member.instance for member in self._members.gateways]
+        if instances != self._told:
+            self._told = instances
+            self._reported.set()
 
     def _expire(self, now: float) -> None:
         suspect_s = self._settings.mesh.suspect_s
--- a/rattangauge/net/join.py
+++ b/rattangauge/net/join.py
@@ -25,6 +25,7 @@
 # Finds members again that a partition has made each other remove.
 REJOIN_S = 30.0
 MAX_RETRY_S = 5.0
+ALONE_RETRY_S = 0.5
 # Members told to a daemon that is known already.
 SAMPLED_MEMBERS = 16
 # Daemons of another zone that are remembered for others of that zone.
@@ -63,10 +64,17 @@
             tasks.start_soon(self._give_up)
             await self._join_first()
             self._joined.set()
+            alone = 0
             while True:
-                period_s = REJOIN_S if self._members.peers else MAX_RETRY_S
-                await anyio.sleep(period_s * self._random.uniform(0.5, 1.5))
-                await self._ask_all(self._contacts()[:1])
+                # The contacts of the own zone may start later than this one.
+                alone = 0 if self._members.peers else alone + 1
+                wait_s = REJOIN_S * self._random.uniform(0.5, 1.5)
+                if alone:
+                    wait_s = pulls.backoff_s(
+                        alone, self._random, ALONE_RETRY_S, REJOIN_S
+                    )
+                await anyio.sleep(wait_s)
+                await self._ask_all(self._contacts()[: 2 if alone else 1])
 
     async def _give_up(self) -> None:
         await anyio.sleep(ALONE_S)
--- a/rattangauge/net/statuswriter.py
+++ b/rattangauge/net/statuswriter.py
@@ -2,6 +2,7 @@
 
 import json
 import random as random_module
+import time
 from typing import Any
 
 import anyio
@@ -74,9 +75,12 @@
         }
 
     def _summaries(self) -> list[dict[str, Any]]:
+        table = self._members.summaries
+        now = time.monotonic()
         return [
             {
                 "zone": summary.zone,
+                "age_ms": round(1000 * table.age_s(summary.zone, now)),
                 "region": summary.region,
                 "sequence_ms": summary.sequence_ms,
                 "members": summary.members,
@@ -84,7 +88,7 @@
                 "services": {e.service: e.serving for e in summary.services},
                 "gateways": list(summary.gateways),
             }
-            for summary in self._members.summaries.summaries.values()
+            for summary in table.summaries.values()
         ]
 
     async def run(self) -> None:
