--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -18,14 +18,18 @@
 from rattangauge.net import forward
 from rattangauge.net import gossip as gossip_module
 from rattangauge.net import ingress
+from rattangauge.net import join
 from rattangauge.net import keyed as keyed_module
 from rattangauge.net import links as links_module
 from rattangauge.net import operators
 from rattangauge.net import platform
 from rattangauge.net import router as router_module
 from rattangauge.net import servers
+from rattangauge.net import spread as spread_module
+from rattangauge.net import statuswriter
 from rattangauge.net import upstream
 from rattangauge.net import worker as worker_module
+from rattangauge.net import zones as zones_module
 
 # Membership periods, and seconds at most, for which the daemon announces its
 # shutdown before it closes idle connections of callers.
@@ -66,6 +70,13 @@
         self._router = router_module.Router(
             self._links, self._members, self._worker
         )
+        self._spread = spread_module.Spread(
+            settings,
+            self._members,
+            self._links,
+            self._events,
+            self._router.use,
+        )
         self._drain = drain_module.Drain(
             self._worker.run, settings.shutdown.limit_s
         )
@@ -81,10 +92,22 @@
         )
         self._router.use_keys(self._keyed.route)
         self._gossip = gossip_module.Gossip(
-            settings, self._members, self._links, self._worker
+            settings,
+            self._members,
+            self._links,
+            self._worker,
+            self._spread,
+            self._events,
         )
+        self._spread.notify(self._gossip.refresh_own)
+        exchange = settings, self._members, self._links, self._gossip
+        self._joining = join.Joining(*exchange, self._spread)
+        self._zones = zones_module.Zones(*exchange, self._spread)
         self._follower = follow.Follower(
-            settings, store, self._router, self._events
+            settings, store, self._members, self._spread
+        )
+        self._status_writer = statuswriter.StatusWriter(
+            settings, store, self._members, self._follower
         )
 
     async def run(self) -> None:
@@ -93,9 +116,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(servers.serve_mesh, self._handle, settings)
             tasks.start_soon(self._gossip.run)
-            tasks.start_soon(self._follower.run)
             tasks.start_soon(self._serve_operators)
             tasks.start_soon(self._leave)
+            tasks.start_soon(self._joining.run)
+            tasks.start_soon(self._spread.run, self._joining.joined)
+            tasks.start_soon(self._zones.run, self._joining.joined)
+            tasks.start_soon(self._follower.run, self._joining.joined)
+            tasks.start_soon(self._status_writer.run)
             log.logger.info("the daemon listens")
             app = ingress.application(self._router, self._keyed.issue)
             await servers.serve_http(
@@ -105,6 +132,7 @@
                 self._stop_callers,
             )
             await self._finish()
+            await self._gossip.leave()
             tasks.cancel_scope.cancel()
 
     async def _serve_operators(self) -> None:
@@ -128,7 +156,7 @@
         """Starts a graceful shutdown."""
         self._drain.begin()
         self._worker.drain()
-        self._gossip.refresh_own()
+        self._gossip.drain()
 
     async def _leave(self) -> None:
         """Closes the callers' port once the members know of the shutdown."""
@@ -144,7 +172,15 @@
             async with self._drain.hold():
                 await forward.serve(stream, message, self._keyed.run_here)
         elif isinstance(message, messages.JoinRequest):
-            await self._gossip.answer_join(stream, message)
+            await self._joining.answer(stream, message)
+        elif isinstance(message, messages.Probe):
+            await self._gossip.answer_probe(stream, message)
+        elif isinstance(message, messages.ZoneExchange):
+            await self._zones.answer(stream, message)
+        elif isinstance(message, messages.VersionHint):
+            await self._spread.answer_hint(stream, message)
+        elif isinstance(message, messages.EditionRequest):
+            await self._spread.serve(stream, message)
 
     def _endpoints(self) -> dict[tuple[str, str], operators.Endpoint]:
         return {
@@ -166,17 +202,7 @@
         return operators.json_reply({"version": version}, status)
 
     async def _status(self, _query: Any, _body: bytes) -> operators.Reply:
-        records = [
-            {
-                **member._asdict(),
-                "state": member.state.name.lower(),
-                "upstream": member.upstream.name.lower(),
-            }
-            for member in self._members.members.values()
-        ]
-        return operators.json_reply(
-            {"version": self._router.version, "members": records}
-        )
+        return operators.json_reply(self._status_writer.view())
 
     async def _explain(
         self, query: dict[str, str], _body: bytes
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins import relay as relay_module
+from tests import builders
 from tools import fleet as fleet_module
 
 pytestmark = pytest.mark.anyio
@@ -99,6 +100,9 @@
             fleet_module.Worker("a", 1), fleet_module.Worker("b", 2, "skladby")
         )
         await fleet.wait_serving("skladby", 1)
+        objects = builders.object_set()
+        await fleet_module.put_edition(fleet.platform_url, 1, objects)
+        await fleet.wait_version(1)
         counters = await fleet.relay_counters()
         assert counters["1-2"]["bytes"] > 0
         assert counters["1-0"]["bytes"] > 0
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -142,7 +142,12 @@
         path = self._folder / f"{name}.log"
         return path.read_text(errors="replace") if path.exists() else ""
 
-    async def _start(self, name: str, *arguments: str) -> None:
+    def clear_log(self, name: str) -> None:
+        """Removes what a process has written."""
+        (self._folder / f"{name}.log").unlink(missing_ok=True)
+
+    async def start_module(self, name: str, *arguments: str) -> None:
+        """Starts a Python module as a process, with its arguments."""
         command = [sys.executable, "-m", *arguments]
         with (self._folder / f"{name}.log").open("ab") as output:
             self._processes[name] = await anyio.open_process(
@@ -151,7 +156,7 @@
 
     async def start_platform(self) -> None:
         """Starts the platform stand-in and waits until it answers."""
-        await self._start(
+        await self.start_module(
             "platform", "standins.platform", self.platform_address
         )
         await wait_for_http(f"{self.platform_url}/counters")
@@ -167,7 +172,7 @@
     async def start_relay(self) -> None:
         """Starts the relay, if the fleet uses one, and waits for it."""
         if self._relay:
-            await self._start("relay", "standins.relay", self._relay)
+            await self.start_module("relay", "standins.relay", self._relay)
             await wait_for_http(f"http://{self._relay}/counters")
 
     async def _add_route(self, zone: int, target: str, **source: int) -> str:
@@ -248,14 +253,16 @@
             sections[section] = {**sections.get(section, {}), **values}
         path = self._folder / f"{name}.toml"
         path.write_text(format_settings(sections))
-        await self._start(name, "rattangauge.daemon", "--settings", str(path))
+        await self.start_module(
+            name, "rattangauge.daemon", "--settings", str(path)
+        )
 
     async def start_upstream(self, name: str) -> None:
         """Starts the upstream stand-in of a worker."""
         worker, ports = self._workers[name], self._ports[name]
         if not worker.service:
             return
-        await self._start(
+        await self.start_module(
             f"{name}.upstream",
             "standins.upstream",
             f"--service={worker.service}",
@@ -360,8 +367,14 @@
                 for member in status["members"]
                 if member["service"] == service
                 and member["upstream"] == "serving"
+                and member["state"] in ("alive", "suspect")
             ]
-            return len(serving) >= count
+            remote = [
+                summary["services"].get(service, 0)
+                for summary in status["summaries"]
+                if summary["zone"] != status["zone"]
+            ]
+            return len(serving) + sum(remote) >= count
         return False
 
 
@@ -425,7 +438,7 @@
     version: int,
     objects: objects_module.ObjectSet,
     only_newer: bool = False,
-) -> None:
+) -> int:
     """Writes an edition to the store without checking it.
 
     Args:
@@ -434,6 +447,9 @@
         objects: Objects of the edition.
         only_newer: Refuse a version that the head has already reached.
 
+    Returns:
+        When the head was written, in milliseconds since 1970.
+
     Raises:
         errors.CodedError: ``store.conflict`` if the head was changed or is not
             older, or another error of the store.
@@ -462,4 +478,6 @@
         head = head_module.Head(version, digest, digests, "", (entry,))
         data = head_module.format_head(head)
         expected = old.version if old else 0
+        written_ms = util.now_ms()
         await store.put(head_module.PATH, data, expected)
+    return written_ms
