Choose, admit and retry calls by what the daemons measure

Cause: the router chose at random, the worker ran any number of calls and nothing was retried, so an overloaded or slowed upstream held all calls back.

Ruled out: a limit from advertised slots alone (an upstream may advertise more than it has) and shunning by reported state (reports may be wrong). A reserve of retries for each hop was ruled out: with two retries, hops below the second would get none.

Change: an adaptive limit, admission with a fair and bounded queue, a choice by measured expected time, and retries under an allowance that travels with the call. The remainder returns in AnswerFailed and in the header rattangauge-allowance, which an upstream may pass on.

--- a/rattangauge/calls/exchange.py
+++ b/rattangauge/calls/exchange.py
@@ -9,6 +9,12 @@
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 
+# Call id, depth and retry allowance; an upstream passes it on.
+CONTEXT_HEADER = b"rattangauge-context"
+
+# Retry allowance that is left after a call; an upstream may pass it on.
+ALLOWANCE_HEADER = b"rattangauge-allowance"
+
 
 class Request(NamedTuple):
     """A call and the rest of its body.
--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -4,9 +4,16 @@
 
 from rattangauge.calls import exchange
 from rattangauge.config import routes
+from rattangauge.generated import messages
 
 OTHER_TENANT = "other"
 
+# The daemon of an upstream does not know the policies of its callers. It
+# counts so many tenants by name, and all further ones as one.
+MAX_TENANTS = 64
+
+_tenants: set[str] = set()
+
 _CALL_BUCKETS = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
     10.0, 30.0, 120.0,
@@ -18,6 +25,23 @@
     ("service", "tenant", "call_class", "outcome"),
     buckets=_CALL_BUCKETS,
 )
+QUEUE_SECONDS = prometheus_client.Histogram(
+    "rattangauge_queue_seconds",
+    "Time that a call waited for a slot of the upstream.",
+    ("tenant", "call_class"),
+    buckets=_CALL_BUCKETS,
+)
+SERVICE_SECONDS = prometheus_client.Histogram(
+    "rattangauge_service_seconds",
+    "Time from the start of a call on the upstream to its answer.",
+    ("tenant", "call_class"),
+    buckets=_CALL_BUCKETS,
+)
+LOAD = prometheus_client.Gauge(
+    "rattangauge_upstream_calls",
+    "Calls of the upstream: running, queued and the limit.",
+    ("kind",),
+)
 VERSION = prometheus_client.Gauge(
     "rattangauge_config_version", "Configuration version in force."
 )
@@ -54,3 +78,33 @@
     call_class = request.open.call_class.name.lower()
     labels = (request.open.service, tenant, call_class, outcome)
     CALL_SECONDS.labels(*labels).observe(seconds)
+
+
+def _tenant_label(tenant: str) -> str:
+    if tenant in _tenants:
+        return tenant
+    if len(_tenants) >= MAX_TENANTS:
+        return OTHER_TENANT
+    _tenants.add(tenant)
+    return tenant
+
+
+def observe_queue(opened: messages.CallOpen, seconds: float) -> None:
+    """Records the time that a call waited for a slot."""
+    call_class = opened.call_class.name.lower()
+    labels = (_tenant_label(opened.tenant), call_class)
+    QUEUE_SECONDS.labels(*labels).observe(seconds)
+
+
+def observe_service(opened: messages.CallOpen, seconds: float) -> None:
+    """Records the time in which the upstream answered a call."""
+    call_class = opened.call_class.name.lower()
+    labels = (_tenant_label(opened.tenant), call_class)
+    SERVICE_SECONDS.labels(*labels).observe(seconds)
+
+
+def observe_load(load: messages.Load) -> None:
+    """Records the load of the upstream."""
+    LOAD.labels("running").set(load.running)
+    LOAD.labels("queued").set(load.queued)
+    LOAD.labels("limit").set(load.limit)
--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -19,7 +19,7 @@
 from rattangauge.net import router as router_module
 
 DEADLINE_HEADER = b"rattangauge-deadline-ms"
-CONTEXT_HEADER = b"rattangauge-context"
+CONTEXT_HEADER = exchange.CONTEXT_HEADER
 TENANT_HEADER = b"rattangauge-tenant"
 KEY_HEADER = b"idempotency-key"
 DEFAULT_TENANT = "default"
@@ -196,6 +196,7 @@
             (b"content-type", b"application/json"),
             (b"content-length", b"%d" % len(body)),
             (b"rattangauge-outcome", outcome.replace("_", "-").encode()),
+            (exchange.ALLOWANCE_HEADER, b"%d" % failure.allowance),
         ]
         if failure.retry_after_ms:
             seconds = -(-failure.retry_after_ms // 1000)
--- a/rattangauge/net/upstream.py
+++ b/rattangauge/net/upstream.py
@@ -200,9 +200,9 @@
             with anyio.fail_after(remaining):
                 await self._exchange(request, respond_once)
         except _NOT_SENT as error:
-            raise exchange.not_run(
-                errorcodes.CALL_NO_UPSTREAM, repr(error)
-            ) from error
+            failure = exchange.not_run(errorcodes.CALL_NO_UPSTREAM, repr(error))
+            failure.allowance = request.open.allowance
+            raise failure from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             code = errorcodes.CALL_UPSTREAM_FAILED if answered else ""
             raise exchange.unknown(repr(error), code) from error
@@ -230,7 +230,9 @@
         ) as response:
             if _is_not_run(response):
                 text = "the upstream refused the call"
-                raise exchange.not_run(errorcodes.CALL_OVERLOADED, text)
+                failure = exchange.not_run(errorcodes.CALL_OVERLOADED, text)
+                failure.allowance = _allowance(request, response)
+                raise failure
             await self._pass_on(request, response, respond)
 
     async def _pass_on(
@@ -244,7 +246,7 @@
             call_id=request.open.call_id,
             status=response.status,
             headers=_response_headers(response.headers),
-            allowance=request.open.allowance,
+            allowance=_allowance(request, response),
         )
         length = _content_length(response)
         if length is not None and length <= util.SMALL_BODY_BYTES:
@@ -255,6 +257,14 @@
             await respond(exchange.Response(head, pieces))
 
 
+def _allowance(request: exchange.Request, response: httpcore.Response) -> int:
+    """Returns the retries that the upstream and the hops below it left."""
+    for name, value in response.headers:
+        if name.lower() == exchange.ALLOWANCE_HEADER and value.isdigit():
+            return min(request.open.allowance, int(value))
+    return request.open.allowance
+
+
 def _content_length(response: httpcore.Response) -> int | None:
     for name, value in response.headers:
         if name.lower() == b"content-length" and value.isdigit():
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -51,9 +51,9 @@
         self._events = events_module.Events()
         self._members = members.MemberTable(_own_record(settings))
         self._links = links_module.Links(settings, tasks)
-        self._worker = worker_module.Worker()
+        self._worker = worker_module.Worker(settings, self._events)
         self._router = router_module.Router(
-            self._links, self._members, self._worker
+            self._links, self._members, self._worker, self._events
         )
         self._gossip = gossip_module.Gossip(
             settings, self._members, self._links, self._worker
