Test admission, choice and retries; probe slow local upstreams

Ruled out: letting measured latencies decay by themselves; many calls at a time would then go to an upstream that is still slow.

Change: every local upstream without an answer for one second gets a probe.

--- a/rattangauge/calls/choice.py
+++ b/rattangauge/calls/choice.py
@@ -7,8 +7,10 @@
 from rattangauge.calls import views
 from rattangauge.generated import messages
 
-# A shunned upstream gets a call after this time without an answer, and then
-# only one call in so many is offered to it.
+# An upstream without an answer for this time gets one call, and only a small
+# share of the calls serves as such probes. This holds for all local upstreams:
+# one that is only twice as slow as the others loses every comparison, so its
+# latency would never be measured again.
 PROBE_PERIOD_S = 1.0
 PROBE_SHARE = 0.02
 
@@ -82,7 +84,7 @@
     due = [
         c
         for c in reachable
-        if c.view.is_shunned
+        if (c.view.is_shunned or c.is_local)
         and not c.view.own
         and now - c.view.answered_at > PROBE_PERIOD_S
     ]
--- /dev/null
+++ b/tests/model_calls.py
@@ -0,0 +1,258 @@
+"""Model of upstreams under seeded arrivals, for tests of pure decisions.
+
+One event loop over a heap of times stands for all upstreams of a service. The
+decisions under test and the naive ones see the same arrivals.
+"""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+from typing import Any
+from typing import NamedTuple
+
+from rattangauge.calls import admission
+from rattangauge.calls import choice
+from rattangauge.calls import limits
+from rattangauge.calls import views
+from rattangauge.generated import messages
+from tests import builders
+
+SLOTS = 9
+WORK_S = 0.04
+DEADLINE_S = 1.0
+RETRIES = 2
+SHORT_SHARE = 0.25
+
+
+class Arrival(NamedTuple):
+    """A call of a caller."""
+
+    time: float
+    work_s: float = WORK_S
+    is_long: bool = False
+
+
+class Result(NamedTuple):
+    """What became of a call: its latency, or None if it failed."""
+
+    arrival: Arrival
+    latency_s: float | None
+    upstream: int
+
+
+class Upstream:
+    """Slots with a queue of their own, as a real upstream has them."""
+
+    def __init__(self, slots: int = SLOTS) -> None:
+        """Creates an idle upstream."""
+        self.slots = slots
+        self.slow_factor = 1.0
+        self.running = 0
+        self.begun = 0
+        self.backlog: list[Callable[[float], None]] = []
+
+    def submit(self, start: Callable[[float], None], now: float) -> None:
+        """Starts a call, at once or when a slot is free."""
+        if self.running < self.slots:
+            self.running += 1
+            self.begun += 1
+            start(now)
+        else:
+            self.backlog.append(start)
+
+    def release(self, now: float) -> None:
+        """Frees a slot."""
+        self.running -= 1
+        if self.backlog:
+            self.submit(self.backlog.pop(0), now)
+
+
+class Loop:
+    """Upstreams, a clock and the calls under way."""
+
+    def __init__(self, upstreams: list[Upstream], seed: int) -> None:
+        """Creates a loop at time 0."""
+        self.upstreams = upstreams
+        self.random = random.Random(seed)
+        self.results: list[Result] = []
+        self.attempts = 0
+        self.now = 0.0
+        self._events: list[Any] = []
+        self._order = itertools.count()
+
+    def at(self, time: float, action: Callable[[float], None]) -> None:
+        """Plans an action."""
+        heapq.heappush(self._events, (time, next(self._order), action))
+
+    def run(
+        self,
+        arrivals: list[Arrival],
+        handle: Callable[[Arrival, float], None],
+        until: float,
+    ) -> list[Result]:
+        """Runs all arrivals and returns their results."""
+        for arrival in arrivals:
+            self.at(arrival.time, lambda now, a=arrival: handle(a, now))
+        while self._events and self._events[0][0] < until:
+            self.now, _, action = heapq.heappop(self._events)
+            action(self.now)
+        return self.results
+
+    def work(
+        self, index: int, arrival: Arrival, done: Callable[[float], None]
+    ) -> None:
+        """Runs a call on an upstream and tells when it is done."""
+        upstream = self.upstreams[index]
+
+        def start(now: float) -> None:
+            seconds = arrival.work_s * upstream.slow_factor
+            self.at(now + seconds * self.random.uniform(0.8, 1.2), finish)
+
+        def finish(now: float) -> None:
+            upstream.release(now)
+            done(now)
+
+        upstream.submit(start, self.now)
+
+
+def arrivals(
+    rate: float, until: float, seed: int, work_s: float = WORK_S
+) -> list[Arrival]:
+    """Returns arrivals of a Poisson process."""
+    source = random.Random(seed)
+    found = []
+    time = 0.0
+    while time < until:
+        time += source.expovariate(rate)
+        found.append(Arrival(time, work_s))
+    return found
+
+
+def naive(loop: Loop) -> Callable[[Arrival, float], None]:
+    """Round robin without limits that retries whatever is late."""
+    turn = itertools.count()
+
+    def handle(arrival: Arrival, _now: float) -> None:
+        state = {"done": False}
+
+        def attempt(number: int) -> None:
+            loop.attempts += 1
+            index = next(turn) % len(loop.upstreams)
+            began = loop.now
+            mine = {"done": False}
+
+            def done(now: float) -> None:
+                mine["done"] = True
+                if state["done"] or now - began > DEADLINE_S:
+                    return
+                state["done"] = True
+                latency = now - arrival.time
+                loop.results.append(Result(arrival, latency, index))
+
+            def late(_now: float) -> None:
+                if not mine["done"] and not state["done"] and number < RETRIES:
+                    attempt(number + 1)
+
+            loop.work(index, arrival, done)
+            loop.at(began + DEADLINE_S, late)
+
+        attempt(0)
+
+    return handle
+
+
+class Mesh:
+    """One daemon that chooses and one daemon at each upstream."""
+
+    def __init__(
+        self, loop: Loop, advertised: int = SLOTS, queue: int = 64
+    ) -> None:
+        """Creates the daemons of all upstreams, long after their start."""
+        self.loop = loop
+        self.group = views.Group()
+        self.refused = 0
+        self._numbers = itertools.count(1)
+        self._started: dict[int, Callable[[], None]] = {}
+        self._refuse: dict[int, Callable[[admission.Refusal], None]] = {}
+        self.queues = [
+            admission.Admission(
+                limits.Limit(advertised, -10.0), queue, SHORT_SHARE
+            )
+            for _ in loop.upstreams
+        ]
+        members = [
+            builders.member(str(index), slots=advertised)
+            for index in range(len(loop.upstreams))
+        ]
+        self.candidates = [
+            choice.Candidate(member, self.group.view(member, -10.0), True, True)
+            for member in members
+        ]
+
+    def handle(self, arrival: Arrival, now: float) -> None:
+        """Runs a call with one retry of a refused one elsewhere."""
+        self._attempt(arrival, now, self.candidates, RETRIES)
+
+    def _attempt(
+        self,
+        arrival: Arrival,
+        now: float,
+        candidates: list[choice.Candidate],
+        left: int,
+    ) -> None:
+        loop = self.loop
+        loop.attempts += 1
+        chosen = choice.choose(
+            candidates, now, loop.random, self.group.median_s
+        )
+        index = int(chosen.member.instance)
+        number = next(self._numbers)
+        deadline = arrival.time + (60.0 if arrival.is_long else DEADLINE_S)
+        ticket = admission.Ticket(number, "t", 5, arrival.is_long, deadline)
+        chosen.view.begin(number, arrival.is_long, now)
+
+        def start() -> None:
+            began = loop.now
+            loop.work(index, arrival, lambda t: done(t, t - began))
+
+        def done(time: float, seconds: float) -> None:
+            queue = self.queues[index]
+            if not arrival.is_long:
+                queue.limit.observe(seconds, queue.running, time)
+            chosen.view.report(self._load(index, time), time)
+            chosen.view.end(number)
+            if not arrival.is_long:
+                self.group.observe(chosen.view, time - now, time)
+            latency = time - arrival.time
+            if time <= deadline:
+                loop.results.append(Result(arrival, latency, index))
+            self._settle(queue.finish(ticket, seconds, time))
+
+        def refuse(refusal: admission.Refusal) -> None:
+            chosen.view.end(number)
+            chosen.view.refuse(refusal.retry_after_ms, loop.now)
+            others = [c for c in candidates if c is not chosen]
+            if left and others:
+                self._attempt(arrival, loop.now, others, left - 1)
+            else:
+                self.refused += 1
+
+        self._started[number] = start
+        self._refuse[number] = refuse
+        self._settle(self.queues[index].offer(ticket, now))
+
+    def _settle(self, outcome: admission.Outcome) -> None:
+        for ticket in outcome.started:
+            self._started.pop(ticket.number)()
+        for refusal in outcome.refused:
+            self._refuse.pop(refusal.ticket.number)(refusal)
+
+    def _load(self, index: int, now: float) -> messages.Load:
+        queue = self.queues[index]
+        return messages.Load(
+            running=queue.running,
+            queued=queue.queued,
+            limit=queue.limit.value(now),
+            state=messages.UpstreamState.SERVING,
+        )
--- /dev/null
+++ b/tests/test_calls_model.py
@@ -0,0 +1,145 @@
+"""Choice and limits against a naive version under the same arrivals."""
+
+import pytest
+
+from rattangauge.calls import limits
+from tests import model_calls as model
+
+UPSTREAMS = 4
+CAPACITY = UPSTREAMS * model.SLOTS / model.WORK_S
+RUN_S = 3.0
+
+
+def _upstreams(count=UPSTREAMS, slots=model.SLOTS):
+    return [model.Upstream(slots) for _ in range(count)]
+
+
+def _goodput(results):
+    return len(results) / RUN_S
+
+
+def _run_mesh(rate, seed, upstreams, **options):
+    loop = model.Loop(upstreams, seed)
+    mesh = model.Mesh(loop, **options)
+    arrivals = model.arrivals(rate, RUN_S, seed)
+    return mesh, loop.run(arrivals, mesh.handle, RUN_S + 1.0)
+
+
+def _run_naive(rate, seed, upstreams):
+    loop = model.Loop(upstreams, seed)
+    arrivals = model.arrivals(rate, RUN_S, seed)
+    return loop.run(arrivals, model.naive(loop), RUN_S + 1.0)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_goodput_stays_flat_past_capacity(seed):
+    """Guards against queues that grow until every call is too late."""
+    _, at_capacity = _run_mesh(CAPACITY, seed, _upstreams())
+    _, past = _run_mesh(4 * CAPACITY, seed, _upstreams())
+    naive = _run_naive(4 * CAPACITY, seed, _upstreams())
+    assert _goodput(past) > 0.9 * _goodput(at_capacity)
+    assert _goodput(past) > 0.85 * CAPACITY
+    assert _goodput(naive) < 0.5 * _goodput(past)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_refused_calls_never_begin(seed):
+    """Guards against a call that is refused as "not run" but runs (P5)."""
+    upstreams = _upstreams()
+    mesh, results = _run_mesh(4 * CAPACITY, seed, upstreams)
+    offered = len(model.arrivals(4 * CAPACITY, RUN_S, seed))
+    begun = sum(upstream.begun for upstream in upstreams)
+    assert mesh.refused > 0
+    assert begun == offered - mesh.refused
+    assert begun >= len(results)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_upstream_that_advertises_too_many_slots(seed):
+    """Guards against trust in the slots that an upstream claims to have."""
+    mesh, results = _run_mesh(
+        2 * CAPACITY, seed, _upstreams(), advertised=50 * model.SLOTS
+    )
+    assert _goodput(results) > 0.8 * CAPACITY
+    limit = max(queue.limit.value(RUN_S) for queue in mesh.queues)
+    assert limit < 6 * model.SLOTS
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("factor", [5.0, 20.0])
+def test_slowed_upstream_loses_its_share_within_a_few_answers(seed, factor):
+    """Guards against waiting for a health report that comes late."""
+    upstreams = _upstreams()
+    loop = model.Loop(upstreams, seed)
+    mesh = model.Mesh(loop)
+    loop.at(1.0, lambda _now: setattr(upstreams[0], "slow_factor", factor))
+    arrivals = model.arrivals(0.3 * CAPACITY, 6.0, seed)
+    results = loop.run(arrivals, mesh.handle, 8.0)
+    late = [r for r in results if r.arrival.time > 1.0]
+    slowed = [r for r in late if r.upstream == 0]
+    assert len(slowed) < 0.03 * len(late)
+    assert len([r for r in slowed if r.arrival.time > 1.5]) > 0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_recovered_upstream_gets_its_share_back(seed):
+    """Guards against an upstream that stays excluded on stale word."""
+    upstreams = _upstreams()
+    loop = model.Loop(upstreams, seed)
+    mesh = model.Mesh(loop)
+    loop.at(0.5, lambda _now: setattr(upstreams[0], "slow_factor", 20.0))
+    loop.at(1.0, lambda _now: setattr(upstreams[0], "slow_factor", 1.0))
+    arrivals = model.arrivals(0.3 * CAPACITY, 6.0, seed)
+    results = loop.run(arrivals, mesh.handle, 7.0)
+    late = [r for r in results if r.arrival.time > 5.0]
+    share = sum(r.upstream == 0 for r in late) / len(late)
+    assert share > 0.6 / UPSTREAMS
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_short_calls_pass_long_uploads(seed):
+    """Guards against uploads that take every slot."""
+    upstreams = _upstreams(2)
+    loop = model.Loop(upstreams, seed)
+    mesh = model.Mesh(loop)
+    uploads = [
+        model.Arrival(0.1 + i * 0.001, 30.0, is_long=True) for i in range(60)
+    ]
+    shorts = model.arrivals(100.0, RUN_S, seed)
+    results = loop.run(uploads + shorts, mesh.handle, RUN_S + 1.0)
+    answered = [r for r in results if not r.arrival.is_long]
+    assert len(answered) == len(shorts)
+    assert max(r.latency_s for r in answered) < 0.4
+
+
+def test_limit_falls_quickly_and_rises_steadily():
+    """Guards against a limit that stays low, or high, after a change."""
+    limit = limits.Limit(18, -10.0)
+    now = 0.0
+
+    def observe(seconds, count):
+        nonlocal now
+        for _ in range(count):
+            now += 0.01
+            limit.observe(seconds, limit.value(now), now)
+
+    observe(0.01, 500)
+    assert limit.value(now) == 18
+    observe(0.1, 24)
+    assert limit.value(now) <= 5
+    observe(0.01, 500)
+    assert limit.value(now) == 18
+
+
+def test_limit_ramps_after_a_cold_start():
+    """Guards against full load on an upstream that has just started."""
+    limit = limits.Limit(18, 0.0)
+    values = []
+    for step in range(600):
+        now = step * 0.01
+        limit.observe(0.01, limit.value(now), now)
+        values.append(limit.value(now))
+    assert values[0] == 4
+    assert values[100] <= 8
+    assert values == sorted(values)
+    assert values[-1] == 18
