--- a/rattangauge/net/router.py
+++ b/rattangauge/net/router.py
@@ -44,6 +44,13 @@
 )
 
 
+def _declared_bytes(opened: messages.CallOpen) -> int:
+    for header in opened.headers:
+        if header.name == b"content-length" and header.value.isdigit():
+            return int(header.value)
+    return len(opened.body)
+
+
 class _Known(NamedTuple):
     """Upstreams of a service as they were looked up at a time."""
 
@@ -280,7 +287,7 @@
             return
         passing_on = anyio.current_time() - answered_at
         seconds = response.open.service_us / 1e6 + passing_on
-        size = len(request.open.body)
+        size = _declared_bytes(request.open)
         self._learner.observe(target.route.name, seconds, size)
 
     def _note_failure(
