--- a/rattangauge/calls/admission.py
+++ b/rattangauge/calls/admission.py
@@ -13,10 +13,6 @@
 
 MIN_RETRY_AFTER_MS = 10
 
-# A call is queued only if it should end within this share of its time left.
-# The estimate leaves out the queues of other processes on the way back.
-HEADROOM = 0.6
-
 
 class Ticket(NamedTuple):
     """A call that wants a slot.
@@ -113,7 +109,7 @@
             return Outcome(started=(self._start(ticket),))
         wait_s = self.expected_wait_s(ticket.is_long, now)
         need_s = wait_s + self._least_s(ticket.is_long)
-        if need_s > HEADROOM * (ticket.deadline - now):
+        if now + need_s > ticket.deadline:
             return Outcome(refused=(self._refusal(ticket, now),))
         if self._has_room(ticket):
             self._enqueue(ticket)
