--- a/rattangauge/membership/members.py
+++ b/rattangauge/membership/members.py
@@ -240,7 +240,7 @@
             and member.upstream == messages.UpstreamState.SERVING
         ]
 
-    def remote(self, service: str) -> list[summary_module.RemoteWorker]:
+    def remote(self, service: str) -> list[messages.Member]:
         """Returns workers of a service in other zones, from summaries."""
         now = time.monotonic()
         return self._summaries.remote(service, self._own.zone, now)
--- a/rattangauge/membership/summary.py
+++ b/rattangauge/membership/summary.py
@@ -1,11 +1,10 @@
 """Summaries of the services of an availability zone for the other zones."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from rattangauge.generated import messages
 
-ADDRESSES_PER_SERVICE = 4
+WORKERS_PER_SERVICE = 4
 # A summary is renewed after this time even if nothing has changed.
 RENEWAL_S = 60.0
 # Versions change often and only matter to daemons that restart.
@@ -14,36 +13,20 @@
 EXPIRY_S = 3 * RENEWAL_S
 
 
-class RemoteWorker(NamedTuple):
-    """A worker of another zone that a call may spill to.
-
-    Attributes:
-        zone: Its availability zone.
-        region: Region of that zone.
-        mesh: Mesh address of its daemon.
-        service: Service that its upstream announces.
-        serving: Workers of the service that serve in that zone.
-        free_slots: Slots of these workers together.
-    """
-
-    zone: str
-    region: str
-    mesh: str
-    service: str
-    serving: int
-    free_slots: int
-
-
 def _service_summary(
     service: str, workers: list[messages.Member]
 ) -> messages.ServiceSummary:
     workers = sorted(workers, key=lambda member: member.instance)
-    addresses = [member.mesh for member in workers[:ADDRESSES_PER_SERVICE]]
     return messages.ServiceSummary(
         service=service,
         serving=len(workers),
         free_slots=sum(member.slots for member in workers),
-        addresses=tuple(addresses),
+        workers=tuple(
+            messages.SummaryWorker(
+                member.instance, member.mesh, member.incarnation, member.slots
+            )
+            for member in workers[:WORKERS_PER_SERVICE]
+        ),
     )
 
 
@@ -161,21 +144,23 @@
 
     def remote(
         self, service: str, own_zone: str, now: float
-    ) -> list[RemoteWorker]:
-        """Returns the workers of a service in other zones."""
+    ) -> list[messages.Member]:
+        """Returns workers of a service in other zones, a few of each zone."""
         return [
-            RemoteWorker(
-                summary.zone,
-                summary.region,
-                address,
-                service,
-                entry.serving,
-                entry.free_slots,
+            messages.Member(
+                instance=worker.instance,
+                zone=summary.zone,
+                region=summary.region,
+                mesh=worker.mesh,
+                service=service,
+                incarnation=worker.incarnation,
+                upstream=messages.UpstreamState.SERVING,
+                slots=worker.slots,
             )
             for summary in self._summaries.values()
             if summary.zone != own_zone
             and self.age_s(summary.zone, now) < EXPIRY_S
             for entry in summary.services
             if entry.service == service
-            for address in entry.addresses
+            for worker in entry.workers
         ]
--- a/rattangauge/net/keyed.py
+++ b/rattangauge/net/keyed.py
@@ -178,12 +178,8 @@
 
     def _relays(self, zone: str) -> list[str]:
         """Returns daemons of a zone that may know all of its members."""
-        addresses = [
-            member.mesh
-            for member in self._members.members.values()
-            if member.zone == zone and member.state not in _GONE
-        ]
-        return addresses[:RELAYS]
+        summary = self._members.summaries.summaries.get(zone)
+        return list(summary.gateways)[:RELAYS] if summary else []
 
     async def _send(
         self,
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -77,6 +77,7 @@
   allowance @4 :UInt16;
   body @5 :Data;
   last @6 :Bool;
+  serviceUs @7 :UInt32;  # from the start of the call on the upstream
 }
 struct AnswerData { body @0 :Data; last @1 :Bool; }
 struct AnswerFailed {
@@ -106,12 +107,20 @@
   rejectedCode @13 :Text;
 }
 
+# A worker that other zones may send calls to.
+struct SummaryWorker {
+  instance @0 :Text;
+  mesh @1 :Text;
+  incarnation @2 :UInt64;
+  slots @3 :UInt32;
+}
+
 # One service in one availability zone, for the other zones.
 struct ServiceSummary {
   service @0 :Text;
   serving @1 :UInt32;
   freeSlots @2 :UInt32;
-  addresses @3 :List(Text);  # mesh addresses of a few serving members
+  workers @3 :List(SummaryWorker);  # a few of the serving members
 }
 struct ZoneSummary {
   zone @0 :Text;
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -115,10 +115,13 @@
     answers = peers.Answers()
     async with peers.scripted(script) as address, peers.pool() as links:
         table = members.MemberTable(OWN._replace(zone=own_zone))
-        # A daemon of zone-1 knows some member of zone-2, one of zone-2 all.
-        known = named if own_zone == "zone-2" else builders.member("x")
-        known = known._replace(zone="zone-2", mesh=address)
-        table.merge([known])
+        # A daemon of zone-1 knows the gateways of zone-2, one of zone-2 all
+        # of its members.
+        table.merge([named._replace(mesh=address)])
+        summary = messages.ZoneSummary(
+            "zone-2", sequence_ms=1, gateways=(address,)
+        )
+        table.summaries.merge([summary], 0.0)
         parts = (peers.settings(), table, links, None, None, None, None)
         daemon = keyed.Keyed(*parts)
         opened = request(key).open._replace(service="skladby")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -169,11 +169,13 @@
 def test_remote_workers_expire():
     """Guards against calls to a zone that has not been heard of for long."""
     table = summary.SummaryTable()
-    entry = messages.ServiceSummary("skladby", 1, 9, ("127.0.2.1:1",))
+    remote = messages.SummaryWorker("b", "127.0.2.1:1", 5, 9)
+    entry = messages.ServiceSummary("skladby", 1, 9, (remote,))
     zone = messages.ZoneSummary("zone-2", "r", 1, 1, 1, (entry,))
     table.merge([zone], 0.0)
     worker = table.remote("skladby", "zone-1", 1.0)[0]
     assert (worker.zone, worker.mesh) == ("zone-2", "127.0.2.1:1")
+    assert (worker.instance, worker.incarnation) == ("b", 5)
     assert table.remote("skladby", "zone-2", 1.0) == []
     assert table.remote("skladby", "zone-1", summary.EXPIRY_S + 1) == []
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -116,6 +116,8 @@
         self._workers: dict[str, Worker] = {}
         self._ports: dict[str, Ports] = {}
         self.platform_address = free_address("127.0.0.1")
+        # Benchmarks replace it to compare with another version.
+        self.daemon_module = "rattangauge.daemon"
 
     @property
     def workers(self) -> dict[str, Worker]:
@@ -254,7 +256,7 @@
         path = self._folder / f"{name}.toml"
         path.write_text(format_settings(sections))
         await self.start_module(
-            name, "rattangauge.daemon", "--settings", str(path)
+            name, self.daemon_module, "--settings", str(path)
         )
 
     async def start_upstream(self, name: str) -> None:
