Define the field specification once, outside the generated modules

Cause: the generator wrote the same class into two modules, and the check told a required field by the type of its default.

Change: FieldSpec and REQUIRED stand in fields.py, which the generated modules import.

--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -6,6 +6,28 @@
 
 from rattangauge import util
 
+# Default of a field that a table must have.
+REQUIRED: Any = object()
+
+
+class FieldSpec(NamedTuple):
+    """Type, default and permitted values of a field.
+
+    Attributes:
+        kind: Type, as the schema files name it.
+        default: Value of a field that is left out; ``REQUIRED`` if there is
+            none.
+        min: Least value, or least length of a list.
+        max: Greatest value, or greatest length of a list.
+        choices: Permitted values; all if empty.
+    """
+
+    kind: str
+    default: Any
+    min: float | None = None
+    max: float | None = None
+    choices: tuple[str, ...] = ()
+
 
 class Codes(NamedTuple):
     """Error codes for the faults of one kind of table."""
@@ -59,7 +81,7 @@
     return isinstance(value, int if kind == "int" else str)
 
 
-def _range_fault(spec: Any, value: Any) -> str:
+def _range_fault(spec: FieldSpec, value: Any) -> str:
     if spec.choices:
         values = value if isinstance(value, list) else [value]
         wrong = [item for item in values if item not in spec.choices]
@@ -75,7 +97,7 @@
     return ""
 
 
-def _address_fault(spec: Any, value: Any) -> str:
+def _address_fault(spec: FieldSpec, value: Any) -> str:
     if "address" not in spec.kind or value == spec.default:
         return ""
     for text in value if isinstance(value, list) else [value]:
@@ -87,7 +109,7 @@
 
 
 def check(
-    specs: dict[str, Any],
+    specs: dict[str, FieldSpec],
     table: dict[str, Any],
     codes: Codes,
     report: Callable[[str, str, str], None],
@@ -108,10 +130,10 @@
     values = {}
     for name, spec in specs.items():
         if name not in table:
-            if isinstance(spec.default, str | int | float | bool | tuple):
-                values[name] = spec.default
-            else:
+            if spec.default is REQUIRED:
                 report(name, "the field is required", codes.missing)
+            else:
+                values[name] = spec.default
             continue
         value = table[name]
         if not _is_type(spec.kind, value):
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -242,20 +242,14 @@
         for key in ("min", "max", "choices")
         if key in field
     )
-    default = _literal(field["default"]) if "default" in field else "REQUIRED"
-    return f'FieldSpec("{kind}", {default}{extra})'
-
-
-_SPEC_SOURCE = (
-    "from typing import Any, NamedTuple\n\n"
-    "REQUIRED: Any = object()\n\n\n"
-    "class FieldSpec(NamedTuple):\n"
-    '    """Type, default and permitted values of a field."""\n\n'
-    "    kind: str\n"
-    "    default: Any\n"
-    "    min: float | None = None\n"
-    "    max: float | None = None\n"
-    "    choices: tuple[str, ...] = ()\n\n\n"
+    default = (
+        _literal(field["default"]) if "default" in field else "fields.REQUIRED"
+    )
+    return f'fields.FieldSpec("{kind}", {default}{extra})'
+
+
+_SPEC_IMPORTS = (
+    "from typing import NamedTuple\n\nfrom rattangauge import fields\n\n\n"
 )
 
 
@@ -277,7 +271,7 @@
 
 
 def _specs_source(groups: dict[str, dict]) -> str:
-    lines = ["SPECS: dict[str, dict[str, FieldSpec]] = {"]
+    lines = ["SPECS: dict[str, dict[str, fields.FieldSpec]] = {"]
     for group, fields in groups.items():
         lines.append(f'    "{group}": {{')
         for name, field in fields.items():
@@ -290,7 +284,7 @@
 
 def _settings_source() -> str:
     tables = tomllib.loads((SCHEMA / "settings.toml").read_text("utf-8"))
-    source = HEADER.format(doc="Settings of the daemon.") + _SPEC_SOURCE
+    source = HEADER.format(doc="Settings of the daemon.") + _SPEC_IMPORTS
     for section, table in tables.items():
         name = section.capitalize()
         source += _record_source(name, table["doc"], table["fields"])
@@ -306,7 +300,9 @@
 
 def _objects_source() -> str:
     tables = tomllib.loads((SCHEMA / "objects.toml").read_text("utf-8"))
-    source = HEADER.format(doc="Objects that operators publish.") + _SPEC_SOURCE
+    source = (
+        HEADER.format(doc="Objects that operators publish.") + _SPEC_IMPORTS
+    )
     for kind, table in tables.items():
         source += _record_source(
             kind.capitalize(), table["doc"], table["fields"]
