Hedge late reads at another upstream under a budget

Cause: each daemon learns on its own that an upstream is slow, so each moment of slowness catches a few calls of every daemon, and these wait for it to the end. The policy field hedge had no effect.

A short GET or HEAD without an answer after twice the 95th percentile of the service's latency is sent to a second upstream that has room. The first answer cancels the other attempt. A late call makes its upstream doubtful for 0.2 s, since its true latency is never seen once it is cancelled.

The allowance that comes back with an answer reaches the caller as header rattangauge-allowance.

--- a/benchmarks/bench_calls.py
+++ b/benchmarks/bench_calls.py
@@ -33,7 +33,8 @@
     async with fleet_module.fleet() as fleet:
         fleet.daemon_module = module
         await fleet.start(*workers)
-        objects = builders.object_set((service,))
+        # The policies of both deployments hedge (examples/).
+        objects = builders.object_set((service,), hedge=True)
         await fleet_module.put_edition(fleet.platform_url, 1, objects)
         await fleet.wait_version(1)
         serving = sum(worker.service == service for worker in workers)
--- a/rattangauge/calls/choice.py
+++ b/rattangauge/calls/choice.py
@@ -71,8 +71,31 @@
     return _choose_zone(usable, now, random, median_s)
 
 
+def choose_second(
+    candidates: Sequence[Candidate],
+    now: float,
+    random: random_module.Random,
+    median_s: float,
+) -> Candidate | None:
+    """Returns the upstream for a second attempt at a late call, if any.
+
+    Only an upstream with room and without a fault may take it, so that second
+    attempts do not add to an overload.
+    """
+    usable = [
+        c
+        for c in candidates
+        if c.is_serving
+        and c.view.open_until <= now
+        and c.view.full_until <= now
+        and not _is_ill(c.view, now, median_s)
+        and _has_room(c, now)
+    ]
+    return _choose_zone(usable, now, random, median_s) if usable else None
+
+
 def _is_ill(view: views.View, now: float, median_s: float) -> bool:
-    if view.is_shunned:
+    if view.is_shunned or view.doubtful_until > now:
         return True
     oldest_s = view.oldest_s(now)
     return oldest_s > STUCK_S and oldest_s > STUCK_FACTOR * median_s > 0.0
--- a/rattangauge/calls/views.py
+++ b/rattangauge/calls/views.py
@@ -4,6 +4,7 @@
 import statistics
 from typing import NamedTuple
 
+from rattangauge.calls import hedge
 from rattangauge.generated import messages
 
 # Weight of a new latency, and the time after which the old ones count little.
@@ -31,6 +32,11 @@
 RAMP_S = 5.0
 RAMP_START = 0.25
 
+# A late call makes its upstream doubtful for this time. It is about as long as
+# a call takes that the upstream slows down: a second attempt that answers
+# cancels the late one, so its true latency is never seen.
+DOUBT_S = 0.2
+
 
 class Change(NamedTuple):
     """A decision about an upstream, for ``explain``."""
@@ -52,6 +58,7 @@
         is_shunned: Whether it gets probes only.
         open_until: Time until which it counts as unreachable.
         full_until: Time until which it counts as full.
+        doubtful_until: Time until which it gets calls only if others cannot.
     """
 
     def __init__(
@@ -66,6 +73,7 @@
         self.is_shunned = False
         self.open_until = 0.0
         self.full_until = 0.0
+        self.doubtful_until = 0.0
         self._first_seen = now
         self._load: messages.Load | None = None
         self._load_at = 0.0
@@ -134,6 +142,10 @@
         """Takes word that the upstream has no room."""
         self.full_until = now + min(MAX_FULL_S, retry_after_ms / 1000)
 
+    def doubt(self, now: float) -> None:
+        """Notes that a call is late."""
+        self.doubtful_until = now + DOUBT_S
+
     def outstanding(self, now: float) -> int:
         """Returns the calls that run or wait at the upstream, as far as known.
 
@@ -154,6 +166,10 @@
         age = (now - self._first_seen) / RAMP_S
         return max(1.0, limit * min(1.0, RAMP_START + age))
 
+    def is_waiting(self, number: int) -> bool:
+        """Tells whether a short call has no answer yet."""
+        return number in self._short
+
     def oldest_s(self, now: float) -> float:
         """Returns the age of the oldest short call under way."""
         started = next(iter(self._short.values()), now)
@@ -172,13 +188,18 @@
 
 
 class Group:
-    """Views of the upstreams of one service."""
+    """Views of the upstreams of one service.
+
+    Attributes:
+        hedge: When its late calls get a second attempt.
+    """
 
     def __init__(self) -> None:
         """Creates an empty group."""
         self._views: dict[str, View] = {}
         self._median_s = 0.0
         self._changes: list[Change] = []
+        self.hedge = hedge.Hedge()
 
     @property
     def median_s(self) -> float:
@@ -207,6 +228,18 @@
     def observe(self, view: View, seconds: float, now: float) -> None:
         """Takes the latency of a short call and judges the upstream."""
         view.observe(seconds, now)
+        self.hedge.observe(seconds)
+        self._judge(view)
+
+    def observe_least(self, view: View, seconds: float, now: float) -> None:
+        """Takes how long a call lasted before it was cancelled as the loser.
+
+        A time below the usual latency says nothing of the upstream.
+        """
+        if seconds > view.latency_s:
+            self.observe(view, seconds, now)
+
+    def _judge(self, view: View) -> None:
         known = [v.latency_s for v in self._views.values() if v.latency_s]
         self._median_s = statistics.median_low(known)
         bound = max(
--- /dev/null
+++ b/rattangauge/net/hedging.py
@@ -0,0 +1,110 @@
+"""Runs a call with a second attempt if the first one is late."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+
+from rattangauge.calls import exchange
+from rattangauge.calls import hedge
+
+# Runs one attempt: calls Respond once, or raises CallFailed.
+Send = Callable[[exchange.Respond], Awaitable[None]]
+
+
+class _Race:
+    """Attempts of one call; the first answer wins and cancels the others."""
+
+    def __init__(self, respond: exchange.Respond) -> None:
+        self._respond = respond
+        self._scopes: list[anyio.CancelScope] = []
+        self._winner: anyio.CancelScope | None = None
+        self._winner_failure: exchange.CallFailed | None = None
+        self._failures: list[exchange.CallFailed] = []
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the first attempt was answered, or failed as the only one."""
+        return self._winner is self._scopes[0] or len(self._scopes) == 1
+
+    @property
+    def is_won(self) -> bool:
+        return self._winner is not None
+
+    async def run(self, send: Send) -> None:
+        """Runs one attempt and keeps its failure."""
+        scope = anyio.CancelScope()
+        self._scopes.append(scope)
+
+        async def respond(response: exchange.Response) -> None:
+            self._claim(scope)
+            await anyio.lowlevel.checkpoint_if_cancelled()
+            await self._respond(response)
+
+        with scope:
+            try:
+                await send(respond)
+            except exchange.CallFailed as failure:
+                if self._winner is scope:
+                    self._winner_failure = failure
+                self._failures.append(failure)
+
+    def _claim(self, scope: anyio.CancelScope) -> None:
+        if self._winner is None:
+            self._winner = scope
+        for other in self._scopes:
+            if other is not self._winner:
+                other.cancel()
+
+    def settle(self) -> None:
+        """Raises the failure of the call, if there is no whole answer."""
+        if self._winner is not None:
+            if self._winner_failure is not None:
+                raise self._winner_failure
+        elif len(self._failures) > 1:
+            raise hedge.worse(*self._failures)
+        elif self._failures:
+            raise self._failures[0]
+
+
+async def run(
+    first: Send,
+    find_second: Callable[[], Send | None],
+    delay_s: float,
+    respond: exchange.Respond,
+) -> None:
+    """Runs a call, and a second attempt if no answer came after a delay.
+
+    Args:
+        first: The first attempt.
+        find_second: Returns the second attempt, if there may be one.
+        delay_s: Time after which the first attempt is late, in seconds.
+        respond: Takes the answer that comes first.
+
+    Raises:
+        exchange.CallFailed: There is no whole answer.
+    """
+    race = _Race(respond)
+
+    async def run_second() -> None:
+        await anyio.sleep(delay_s)
+        second = None if race.is_won else find_second()
+        if second is not None:
+            await race.run(second)
+
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_second)
+            await race.run(first)
+            if race.is_over:
+                tasks.cancel_scope.cancel()
+    except BaseExceptionGroup as group:
+        raise _first_error(group) from group
+    race.settle()
+
+
+def _first_error(group: BaseExceptionGroup) -> BaseException:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -168,7 +168,13 @@
 
     async def respond(self, response: exchange.Response) -> None:
         """Sends an answer to the caller."""
-        headers = [(h.name, h.value) for h in response.open.headers]
+        headers = [
+            (header.name, header.value)
+            for header in response.open.headers
+            if header.name.lower() != exchange.ALLOWANCE_HEADER
+        ]
+        allowance = b"%d" % response.open.allowance
+        headers.append((exchange.ALLOWANCE_HEADER, allowance))
         await self.start(response.open.status, headers)
         if response.body is None:
             await self.send_body(response.open.body, False)
--- a/rattangauge/net/router.py
+++ b/rattangauge/net/router.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import itertools
 import math
 import random
@@ -14,6 +15,7 @@
 from rattangauge.calls import choice
 from rattangauge.calls import classes
 from rattangauge.calls import exchange
+from rattangauge.calls import hedge
 from rattangauge.calls import retry
 from rattangauge.calls import views as views_module
 from rattangauge.config import edition as edition_module
@@ -22,6 +24,7 @@
 from rattangauge.generated import messages
 from rattangauge.membership import members
 from rattangauge.net import forward
+from rattangauge.net import hedging
 from rattangauge.net import links as links_module
 from rattangauge.net import worker as worker_module
 
@@ -233,9 +236,58 @@
         progress: _Progress,
         tried: list[str],
     ) -> None:
-        candidate, group = self._choose(target, frozenset(tried))
+        first, group = self._choose(target, frozenset(tried))
+        tried.append(first.member.instance)
+
+        def sender(
+            request: exchange.Request, candidate: choice.Candidate
+        ) -> hedging.Send:
+            return functools.partial(
+                self._attempt_at, request, target, progress, candidate, group
+            )
+
+        def find_second() -> hedging.Send | None:
+            first.view.doubt(anyio.current_time())
+            second = self._choose_second(target, tried)
+            if second is None or not group.hedge.take():
+                return None
+            tried.append(second.member.instance)
+            opened = retry.with_allowance(request.open, 0)
+            return sender(request._replace(open=opened), second)
+
+        group.hedge.add_call()
+        delay_s = group.hedge.delay_s
+        if not (target.policy.hedge and hedge.is_allowed(request.open)):
+            delay_s = 0.0
+        send = sender(request, first)
+        if delay_s:
+            await hedging.run(send, find_second, delay_s, progress.respond)
+        else:
+            await send(progress.respond)
+
+    def _choose_second(
+        self, target: routes.Target, tried: list[str]
+    ) -> choice.Candidate | None:
+        """Returns the upstream for a second attempt, if one has room."""
+        candidates, group = self._candidates(target)
+        return choice.choose_second(
+            [c for c in candidates if c.member.instance not in tried],
+            anyio.current_time(),
+            self._random,
+            group.median_s,
+        )
+
+    async def _attempt_at(
+        self,
+        request: exchange.Request,
+        target: routes.Target,
+        progress: _Progress,
+        candidate: choice.Candidate,
+        group: views_module.Group,
+        pass_on: exchange.Respond,
+    ) -> None:
+        """Runs an attempt at an upstream and measures it."""
         member, view = candidate.member, candidate.view
-        tried.append(member.instance)
         number = next(self._numbers)
         is_long = request.open.call_class == messages.CallClass.LONG
         began = anyio.current_time()
@@ -247,7 +299,7 @@
             view.pass_on(number)
             if request.open.last and not is_long:
                 group.observe(view, now - began, now)
-            await progress.respond(response)
+            await pass_on(response)
             self._learn(request, target, response, now)
 
         try:
@@ -256,6 +308,11 @@
             if not progress.answered:
                 self._note_failure(group, view, failure, began)
             raise
+        except anyio.get_cancelled_exc_class():
+            if progress.answered and view.is_waiting(number):
+                now = anyio.current_time()
+                group.observe_least(view, now - began, now)
+            raise
         finally:
             view.end(number)
             self._record(group)
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,196 @@
+"""Second attempts of late calls."""
+
+import anyio
+import pytest
+
+from rattangauge.calls import exchange
+from rattangauge.calls import hedge
+from rattangauge.calls import retry
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.net import hedging
+
+pytestmark = pytest.mark.anyio
+
+
+class _Calls:
+    """Attempts that wait for a signal and tell what became of them."""
+
+    def __init__(self):
+        self.begun = []
+        self.cancelled = []
+        self.answers = []
+
+    def attempt(self, name, go=None, failure=None):
+        async def send(respond):
+            self.begun.append(name)
+            try:
+                if go is not None:
+                    await go.wait()
+                if failure is not None:
+                    raise failure
+                head = messages.AnswerOpen(name, 200, last=True)
+                await respond(exchange.Response(head, None))
+            except anyio.get_cancelled_exc_class():
+                self.cancelled.append(name)
+                raise
+
+        return send
+
+    async def respond(self, response):
+        await anyio.lowlevel.checkpoint()
+        self.answers.append(response.open.call_id)
+
+
+def _set():
+    event = anyio.Event()
+    event.set()
+    return event
+
+
+def _overloaded():
+    return exchange.not_run(errorcodes.CALL_OVERLOADED, "full")
+
+
+async def _run(calls, first, find_second):
+    with anyio.fail_after(30):
+        await hedging.run(first, find_second, 0.001, calls.respond)
+
+
+async def test_late_call_is_answered_by_the_second_attempt():
+    """Guards against a call that waits for an upstream that is slow now."""
+    calls = _Calls()
+    first = calls.attempt("first", anyio.Event())
+    second = calls.attempt("second")
+    await _run(calls, first, lambda: second)
+    assert calls.answers == ["second"]
+    assert calls.cancelled == ["first"]
+
+
+async def test_first_answer_cancels_the_second_attempt():
+    """Guards against two answers, and against work for nobody."""
+    calls = _Calls()
+    go = anyio.Event()
+    second = calls.attempt("second", anyio.Event())
+
+    def find_second():
+        go.set()
+        return second
+
+    await _run(calls, calls.attempt("first", go), find_second)
+    assert calls.answers == ["first"]
+    assert "second" not in calls.answers
+    assert calls.cancelled == calls.begun[1:]
+
+
+async def test_two_answers_at_a_time():
+    """Guards against a caller that gets both answers of a call (P4)."""
+    calls = _Calls()
+    go = anyio.Event()
+
+    def find_second():
+        go.set()
+        return calls.attempt("second", go)
+
+    await _run(calls, calls.attempt("first", go), find_second)
+    assert len(calls.answers) == 1
+
+
+async def test_no_second_attempt_after_an_early_failure():
+    """Guards against hedging in place of the retry rules."""
+    calls = _Calls()
+    first = calls.attempt("first", failure=_overloaded())
+    with pytest.raises(exchange.CallFailed) as caught:
+        await _run(calls, first, lambda: calls.attempt("second"))
+    assert caught.value.outcome == messages.Outcome.NOT_RUN
+    assert calls.begun == ["first"]
+
+
+@pytest.mark.parametrize("is_first_refused", [False, True])
+async def test_other_attempt_goes_on_after_a_failure(is_first_refused):
+    """Guards against a call that fails while one of its attempts runs."""
+    calls = _Calls()
+    begun = anyio.Event()
+    refused = _overloaded()
+
+    def find_second():
+        begun.set()
+        if is_first_refused:
+            return calls.attempt("second", _set())
+        return calls.attempt("second", failure=refused)
+
+    if is_first_refused:
+        first = calls.attempt("first", begun, refused)
+    else:
+        first = calls.attempt("first", begun)
+    await _run(calls, first, find_second)
+    assert len(calls.answers) == 1
+
+
+@pytest.mark.parametrize("is_first_unknown", [False, True])
+async def test_call_is_unknown_if_one_attempt_may_have_run(is_first_unknown):
+    """Guards against "not run" for a call that ran (P5)."""
+    calls = _Calls()
+    failures = [exchange.unknown("lost"), _overloaded()]
+    if not is_first_unknown:
+        failures.reverse()
+    begun = anyio.Event()
+
+    def find_second():
+        begun.set()
+        return calls.attempt("second", failure=failures[1])
+
+    first = calls.attempt("first", begun, failures[0])
+    with pytest.raises(exchange.CallFailed) as caught:
+        await _run(calls, first, find_second)
+    assert caught.value.outcome == messages.Outcome.UNKNOWN
+
+
+def _opened(**fields):
+    values = {"method": "GET", "idempotent": True, "last": True, "allowance": 2}
+    return messages.CallOpen(**{**values, **fields})
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"idempotent": False},
+        {"method": "PUT"},
+        {"last": False},
+        {"key": "k"},
+        {"allowance": 0},
+        {"call_class": messages.CallClass.LONG},
+    ],
+)
+def test_only_short_reads_are_hedged(fields):
+    """Guards against running a call twice that must not be (P6)."""
+    assert hedge.is_allowed(_opened())
+    assert not hedge.is_allowed(_opened(**fields))
+
+
+def test_second_attempts_are_not_hedged_at_further_hops():
+    """Guards against hedging that multiplies over 22 levels."""
+    assert not hedge.is_allowed(retry.with_allowance(_opened(), 0))
+
+
+def test_budget_bounds_second_attempts():
+    """Guards against hedging that doubles the load when all are slow."""
+    hedges = hedge.Hedge()
+    taken = 0
+    for _ in range(1000):
+        hedges.add_call()
+        taken += hedges.take()
+    assert taken <= hedge.BUDGET_MAX + 1000 * hedge.BUDGET_SHARE
+    assert taken >= 1000 * hedge.BUDGET_SHARE - 1
+
+
+def test_delay_follows_the_upper_end_of_the_latency():
+    """Guards against second attempts of calls that are not late."""
+    hedges = hedge.Hedge()
+    assert hedges.delay_s == 0.0
+    for number in range(2000):
+        hedges.observe(0.01 + 0.01 * (number % 100) / 100)
+    assert 0.034 < hedges.delay_s < 0.046
+    for number in range(2000):
+        hedges.observe(0.3 if number % 50 == 0 else 0.01)
+    assert hedges.delay_s < 0.046
