Leave known services out of renewed summaries; name all workers

A zone's summary has about 21.6 kB at 217 members and 66 services. It is renewed every 60 s, and about as often because a configuration change raises the lowest version, and each renewal carried all services to each daemon of all zones: 12 x 21.6 kB in 57.6 s are 4.5 kB a second received by each daemon. Each daemon also joins again every 30 s, and the answer carried the summaries of all zones: 237 kB in 30 s are 7.9 kB a second. Both together pass the 10 kB a second of the target.

A summary now has a hash of its services. A daemon tells the hashes that it has, also when it joins, and services that it has are left out.

A summary named the first 4 workers of each service by name, so calls that spilled from all other zones met the same 4. It now names up to 264 workers, which is the number that 66 services with 4 each already had, and the services share them evenly. A zone of the target has 217 workers, so all are named, and the choice by load works on all of them. A rotation over time was ruled out: at any time all zones would still meet the same 4.

The hash was preferred to the sequence of the last change, as two gateways that issue in the same millisecond would otherwise leave some daemons with services of the other one.

--- a/rattangauge/membership/summary.py
+++ b/rattangauge/membership/summary.py
@@ -1,10 +1,15 @@
 """Summaries of the services of an availability zone for the other zones."""
 
 from collections.abc import Iterable
+import hashlib
 
+from rattangauge import util
 from rattangauge.generated import messages
 
-WORKERS_PER_SERVICE = 4
+# Workers that a summary names. The services share them evenly, and one with
+# few workers leaves its part to the others: a zone of the target, with 217
+# workers in 66 services, names all of them.
+MAX_WORKERS = 264
 # A summary is renewed after this time even if nothing has changed.
 RENEWAL_S = 60.0
 # Versions change often and only matter to daemons that restart.
@@ -12,11 +17,31 @@
 # A zone whose summary was not renewed for this time is not used any more.
 EXPIRY_S = 3 * RENEWAL_S
 
+_UNKNOWN = messages.ZoneSummary()
+
+
+def workers_per_service(counts: Iterable[int]) -> int:
+    """Returns how many workers of each service a summary names at most.
+
+    >>> workers_per_service([200, 3]), workers_per_service([400, 200, 3])
+    (264, 130)
+    """
+    left = MAX_WORKERS
+    rising = sorted(counts)
+    for position, count in enumerate(rising):
+        share = left // (len(rising) - position)
+        if count > share:
+            return share
+        left -= count
+    return MAX_WORKERS
+
 
 def _service_summary(
-    service: str, workers: list[messages.Member]
+    service: str, workers: list[messages.Member], limit: int
 ) -> messages.ServiceSummary:
-    workers = sorted(workers, key=lambda member: member.instance)
+    named = sorted(workers, key=lambda member: member.instance)
+    if len(named) > limit:
+        named.sort(key=lambda m: util.rendezvous_rank(service, m.instance))
     return messages.ServiceSummary(
         service=service,
         serving=len(workers),
@@ -25,7 +50,7 @@
             messages.SummaryWorker(
                 member.instance, member.mesh, member.incarnation, member.slots
             )
-            for member in workers[:WORKERS_PER_SERVICE]
+            for member in named[:limit]
         ),
     )
 
@@ -47,13 +72,15 @@
     for member in members:
         if member.upstream == messages.UpstreamState.SERVING:
             services.setdefault(member.service, []).append(member)
+    limit = workers_per_service(len(workers) for workers in services.values())
     return messages.ZoneSummary(
         zone=own.zone,
         region=own.region,
         members=len(members),
         version=min((member.version for member in members), default=0),
         services=tuple(
-            _service_summary(name, services[name]) for name in sorted(services)
+            _service_summary(name, services[name], limit)
+            for name in sorted(services)
         ),
         gateways=tuple(member.mesh for member in gateways),
     )
@@ -63,10 +90,33 @@
     old: messages.ZoneSummary, new: messages.ZoneSummary
 ) -> bool:
     """Tells whether two summaries say the same of the services of a zone."""
-    masked = old._replace(version=new.version, sequence_ms=new.sequence_ms)
+    masked = old._replace(
+        version=new.version,
+        sequence_ms=new.sequence_ms,
+        content=new.content,
+    )
     return masked == new
 
 
+def content_of(services: tuple[messages.ServiceSummary, ...]) -> int:
+    """Returns a hash of the services, by which daemons compare them."""
+    data = repr(services).encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
+
+
+def _abbreviate(summary: messages.ZoneSummary) -> messages.ZoneSummary:
+    return summary._replace(services=(), brief=True)
+
+
+def _complete(
+    summary: messages.ZoneSummary, known: messages.ZoneSummary
+) -> messages.ZoneSummary:
+    """Puts the known services into a summary that leaves them out."""
+    if not summary.brief:
+        return summary
+    return summary._replace(services=known.services, brief=False)
+
+
 class SummaryTable:
     """The newest summary of each zone."""
 
@@ -87,20 +137,31 @@
     def known(self) -> tuple[messages.ZoneSequence, ...]:
         """Returns the sequence of each summary."""
         return tuple(
-            messages.ZoneSequence(summary.zone, summary.sequence_ms)
+            messages.ZoneSequence(
+                summary.zone, summary.sequence_ms, summary.content
+            )
             for summary in self._summaries.values()
         )
 
     def later_than(
         self, known: Iterable[messages.ZoneSequence]
     ) -> tuple[messages.ZoneSummary, ...]:
-        """Returns the summaries that another daemon does not have yet."""
-        sequences = {entry.zone: entry.sequence_ms for entry in known}
-        return tuple(
-            summary
-            for summary in self._summaries.values()
-            if summary.sequence_ms > sequences.get(summary.zone, 0)
-        )
+        """Returns the summaries that another daemon does not have yet.
+
+        Services that it has already are left out: most renewals only say that
+        a zone still exists or which version it has.
+        """
+        entries: dict[str, messages.ZoneSequence] = {
+            entry.zone: entry for entry in known
+        }
+        later = []
+        for summary in self._summaries.values():
+            entry = entries.get(summary.zone, messages.ZoneSequence())
+            if summary.sequence_ms <= entry.sequence_ms:
+                continue
+            is_same = summary.content and summary.content == entry.content
+            later.append(_abbreviate(summary) if is_same else summary)
+        return tuple(later)
 
     def merge(
         self, summaries: Iterable[messages.ZoneSummary], now: float
@@ -112,13 +173,17 @@
         """
         taken = []
         for summary in summaries:
-            known = self._summaries.get(summary.zone)
-            if known and known.sequence_ms >= summary.sequence_ms:
+            known = self._summaries.get(summary.zone, _UNKNOWN)
+            if known.sequence_ms >= summary.sequence_ms:
+                continue
+            if summary.brief and known.content != summary.content:
+                # The next exchange brings the services.
                 continue
-            self._summaries[summary.zone] = summary
+            whole = _complete(summary, known)
+            self._summaries[summary.zone] = whole
             self._received[summary.zone] = now
-            if known is None or not is_version_only(known, summary):
-                taken.append(summary)
+            if not is_version_only(known, whole):
+                taken.append(whole)
         return taken
 
     def issue(
@@ -131,7 +196,9 @@
         """
         known = self._summaries.get(fresh.zone)
         if known is not None:
-            fresh = fresh._replace(sequence_ms=known.sequence_ms)
+            fresh = fresh._replace(
+                sequence_ms=known.sequence_ms, content=known.content
+            )
             age_s = self.age_s(fresh.zone, now)
             if fresh == known and age_s < RENEWAL_S:
                 return None
@@ -139,7 +206,9 @@
                 return None
         # The clock of an earlier gateway may have been ahead of this one.
         sequence = max(now_ms, fresh.sequence_ms + 1)
-        issued = fresh._replace(sequence_ms=sequence)
+        issued = fresh._replace(
+            sequence_ms=sequence, content=content_of(fresh.services)
+        )
         return issued if self.merge([issued], now) else None
 
     def remote(
--- a/rattangauge/net/gossip.py
+++ b/rattangauge/net/gossip.py
@@ -310,7 +310,8 @@
 
     async def introduce(self, address: str) -> None:
         """Asks a daemon that is not known yet for the members it knows."""
-        request = messages.JoinRequest(self._members.own)
+        known = self._members.summaries.known()
+        request = messages.JoinRequest(self._members.own, known)
         timeout_s = self._settings.mesh.ping_timeout_s
         reply = await self._links.request(address, request, timeout_s)
         if isinstance(reply, messages.JoinReply):
--- a/rattangauge/net/join.py
+++ b/rattangauge/net/join.py
@@ -121,7 +121,8 @@
         return any(answers)
 
     async def _ask(self, address: str) -> bool:
-        request = messages.JoinRequest(self._members.own)
+        known = self._members.summaries.known()
+        request = messages.JoinRequest(self._members.own, known)
         try:
             reply = await self._links.request(
                 address, request, REQUEST_TIMEOUT_S
@@ -149,7 +150,7 @@
         self._gossip.merge((joiner,))
         reply = messages.JoinReply(
             members=tuple(records),
-            summaries=tuple(self._members.summaries.summaries.values()),
+            summaries=self._members.summaries.later_than(message.known),
             version=self._spread.holder.version,
             digest=self._spread.holder.digest,
             floor=max(floor, joiner.version),
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -130,8 +130,10 @@
   version @4 :UInt64;     # lowest version in force among the members
   services @5 :List(ServiceSummary);
   gateways @6 :List(Text);  # mesh addresses of the gateways
+  content @7 :UInt64;     # hash of the services
+  brief @8 :Bool;         # the receiver has these services; they are left out
 }
-struct ZoneSequence { zone @0 :Text; sequenceMs @1 :UInt64; }
+struct ZoneSequence { zone @0 :Text; sequenceMs @1 :UInt64; content @2 :UInt64; }
 
 # Membership ping; a target asks the receiver to ping that address instead.
 struct Probe {
@@ -149,7 +151,10 @@
   updates @3 :List(Member);
   instance @4 :Text;    # that answered, or was reached for another
 }
-struct JoinRequest { member @0 :Member; }
+struct JoinRequest {
+  member @0 :Member;
+  known @1 :List(ZoneSequence);  # the answer has only later summaries
+}
 struct JoinReply {
   members @0 :List(Member);
   summaries @1 :List(ZoneSummary);
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -196,3 +196,57 @@
     later = status.build(table, progress, True, 2.0, 500)
     assert built["lowest_version"] == built["highest_version"] == 4
     assert status.without_times(built) == status.without_times(later)
+
+
+def test_renewal_leaves_known_services_out():
+    """Guards against 12 whole summaries a minute to each of 2,600 daemons."""
+    issuer, reader = summary.SummaryTable(), summary.SummaryTable()
+    own = builders.member("a")
+    old = summary.summarize(own, [own], [])
+    issuer.issue(old, 0.0, 1_000)
+    reader.merge(issuer.later_than(reader.known()), 0.0)
+    services = reader.summaries["zone-1"].services
+    assert services
+    issuer.issue(old._replace(version=2), 20.0, 21_000)
+    (renewal,) = issuer.later_than(reader.known())
+    assert renewal.brief
+    assert not renewal.services
+    assert reader.merge([renewal], 20.0) == []
+    assert reader.summaries["zone-1"].services == services
+    assert reader.summaries["zone-1"].version == 2
+    assert not reader.summaries["zone-1"].brief
+
+
+def test_renewal_of_other_services_is_not_taken():
+    """Guards against services of one summary under the hash of another."""
+    table = summary.SummaryTable()
+    table.merge([messages.ZoneSummary("zone-2", sequence_ms=1, content=7)], 0.0)
+    brief = messages.ZoneSummary("zone-2", sequence_ms=2, content=8, brief=True)
+    table.merge([brief], 0.0)
+    assert table.summaries["zone-2"].sequence_ms == 1
+
+
+def test_summary_names_all_workers_of_a_target_zone():
+    """Guards against calls of 11 zones that all meet the same 4 workers."""
+    own = builders.member("a")
+    large = [builders.member(f"a{n}") for n in range(150)]
+    small = [
+        builders.member(f"b{n}", service=f"service-{n}") for n in range(65)
+    ]
+    zone = summary.summarize(own, [*large, *small], [])
+    named = {
+        worker.instance for entry in zone.services for worker in entry.workers
+    }
+    assert named == {member.instance for member in [*large, *small]}
+
+
+def test_named_workers_are_bounded():
+    """Guards against a summary that grows with the workers of its zone."""
+    own = builders.member("a")
+    workers = [
+        builders.member(f"a{n}", service=f"service-{n % 3}")
+        for n in range(1_000)
+    ]
+    zone = summary.summarize(own, workers, [])
+    counts = [len(entry.workers) for entry in zone.services]
+    assert counts == [summary.MAX_WORKERS // 3] * 3
