Show zones that do not reach the store, and what their gateways rejected

Cause: the first gateway writes its proxies as `proxies`, but the reader of the store looked for `members`, so `rattangauge status` listed no proxy of a real fleet. A status was written only on a change, so its age did not tell whether the zone reaches the store. In a zone with more than two members the proxies that are no gateways never see an edition that the gateways reject.

Ruled out: a field of its own for the rejected version; the proxies in the status name it already. A separate heartbeat object costs more writes.

Change: the reader takes `proxies`; an unchanged status is written again after 4 s (3 writes a second for 12 zones); the status names what the zone has heard of other zones; `status` prints a zone as not reporting after 10 s, with who still hears it, and names the version and code that a gateway rejected. The longest wait after a failed write is 8 s instead of 30 s, so that a zone reports soon after an outage. `/status` of a daemon names the digest in force. A test of the command-line tool wrote `members`, which no daemon writes; it now writes `proxies`. A test of the report expects the rejection in addition.

Conclusion: test_status_that_a_zone_writes_is_read fails with the reader before this change and passes with it; the age is tested as a pure function only, not yet against a zone that is cut off.

--- a/rattangauge/commands/status.py
+++ b/rattangauge/commands/status.py
@@ -37,7 +37,9 @@
     return progress.report(newest, None, statuses, util.now_ms())
 
 
-def _mark(behind: bool) -> str:
+def _mark(behind: bool, reporting: bool = True) -> str:
+    if not reporting:
+        return "not reporting"
     return "behind" if behind else "current"
 
 
@@ -49,7 +51,7 @@
             "-" if zone.lowest_version is None else zone.lowest_version,
             output.format_age(zone.age_ms),
             output.format_age(zone.status_age_ms),
-            _mark(zone.behind),
+            _mark(zone.behind, zone.reporting),
             zone.reason,
         ]
         for zone in report.zones
--- a/rattangauge/config/progress.py
+++ b/rattangauge/config/progress.py
@@ -7,8 +7,9 @@
 from rattangauge.config import head as head_module
 from rattangauge.config import zones as zones_module
 
-# A zone writes its status when it changes; an older one is named as stale.
-STALE_MS = 60_000
+# A zone writes its status at least every 4 s (``statuswriter``), 2 s late at
+# most. An older status says that the zone does not reach the store.
+SILENT_MS = 10_000
 
 _GONE = ("dead", "left")
 
@@ -43,7 +44,8 @@
         age_ms: Time since the lowest version was published, or None.
         status_age_ms: Time since the zone wrote its status, or None.
         behind: Whether a proxy of the zone lacks the newest version.
-        reason: Why it is behind, or empty.
+        reason: Why it is behind or does not report, or empty.
+        reporting: Whether the zone wrote its status lately.
     """
 
     zone: str
@@ -53,6 +55,7 @@
     status_age_ms: int | None
     behind: bool
     reason: str
+    reporting: bool
 
 
 class Report(NamedTuple):
@@ -70,7 +73,9 @@
     return max(0, now_ms - entry.published_ms) if entry else None
 
 
-def _proxy_reason(member: dict[str, Any], version: int) -> str:
+def _proxy_reason(
+    member: dict[str, Any], version: int, zone_rejected: tuple[int, str]
+) -> str:
     rejected = member.get("rejected_version")
     if rejected:
         code = member.get("rejected_code") or "no code"
@@ -80,11 +85,15 @@
         return "it does not answer pings"
     if not version:
         return "it reports no configuration in force"
+    # Only gateways read the store, so the others never see what they refuse.
+    rejected, code = zone_rejected
+    if rejected > version:
+        return f"a gateway of its zone rejected version {rejected} [{code}]"
     return "it has not received the newest version yet"
 
 
 def _proxy(
-    zone: str,
+    status: zones_module.ZoneStatus,
     member: dict[str, Any],
     newest: int,
     head: head_module.Head | None,
@@ -93,48 +102,74 @@
     value = member.get("version")
     version = value if isinstance(value, int) else 0
     behind = version < newest
-    reason = _proxy_reason(member, version) if behind else ""
+    reason = ""
+    if behind:
+        reason = _proxy_reason(member, version, status.rejected)
     instance = str(member.get("instance", ""))
     age_ms = _age_ms(head, version, now_ms)
-    return Proxy(zone, instance, version, age_ms, behind, reason)
+    return Proxy(status.zone, instance, version, age_ms, behind, reason)
 
 
-def _zone_reason(
-    status: zones_module.ZoneStatus,
-    proxies: list[Proxy],
-    status_age_ms: int | None,
+def _behind_reason(
+    status: zones_module.ZoneStatus, proxies: list[Proxy]
 ) -> str:
-    if status.lowest_version is None:
-        return "its status is missing or cannot be read"
-    reasons = ["it has not received the newest version yet"]
+    reason = "it has not received the newest version yet"
     if proxies:
         behind = sum(proxy.behind for proxy in proxies)
-        reasons = [f"{behind} of {len(proxies)} proxies are behind"]
-    if status_age_ms is not None and status_age_ms > STALE_MS:
-        reasons.append(f"its status is {status_age_ms // 1000} s old")
-    return "; ".join(reasons)
+        reason = f"{behind} of {len(proxies)} proxies are behind"
+    rejected, code = status.rejected
+    if rejected > (status.lowest_version or 0):
+        reason += f"; version {rejected} was rejected [{code}]"
+    return reason
+
+
+def _silent_reasons(
+    zone: str,
+    status_age_ms: int,
+    statuses: list[zones_module.ZoneStatus],
+    now_ms: int,
+) -> list[str]:
+    """Tells since when a zone does not report and who still hears it."""
+    reasons = [f"its status is {status_age_ms // 1000} s old"]
+    for other in statuses:
+        for heard in other.heard:
+            if heard.zone == zone != other.zone:
+                age_ms = max(0, now_ms - other.written_ms) + heard.age_ms
+                reasons.append(
+                    f"{other.zone} heard from it {age_ms // 1000} s ago"
+                    f" at version {heard.version}"
+                )
+    return reasons
 
 
 def _zone(
     status: zones_module.ZoneStatus,
     proxies: list[Proxy],
+    statuses: list[zones_module.ZoneStatus],
     newest: int,
     head: head_module.Head | None,
     now_ms: int,
 ) -> Zone:
     lowest = status.lowest_version
     behind = lowest is None or lowest < newest
-    written_ms = status.written_ms
-    status_age_ms = max(0, now_ms - written_ms) if written_ms else None
-    reason = _zone_reason(status, proxies, status_age_ms) if behind else ""
+    age_ms = max(0, now_ms - status.written_ms) if status.written_ms else None
+    is_silent = age_ms is not None and age_ms > SILENT_MS
+    reasons = []
+    if lowest is None:
+        reasons.append("its status is missing or cannot be read")
+    elif behind:
+        reasons.append(_behind_reason(status, proxies))
+    if is_silent:
+        reasons += _silent_reasons(status.zone, age_ms, statuses, now_ms)
     return Zone(
         status.zone,
         lowest,
         status.highest_version,
         _age_ms(head, lowest, now_ms),
-        status_age_ms,
+        age_ms,
         behind,
-        reason,
+        "; ".join(reasons),
+        lowest is not None and not is_silent,
     )
 
 
@@ -153,14 +188,17 @@
         now_ms: The time, in milliseconds since 1970.
     """
     made = Report(newest, [], [])
-    for status in statuses:
+    all_statuses = list(statuses)
+    for status in all_statuses:
         proxies = [
-            _proxy(status.zone, member, newest, head, now_ms)
+            _proxy(status, member, newest, head, now_ms)
             for member in status.members
             if member.get("state") not in _GONE
         ]
         made.proxies.extend(proxies)
-        made.zones.append(_zone(status, proxies, newest, head, now_ms))
+        made.zones.append(
+            _zone(status, proxies, all_statuses, newest, head, now_ms)
+        )
     return made
 
 
--- a/rattangauge/config/zones.py
+++ b/rattangauge/config/zones.py
@@ -8,6 +8,20 @@
 PREFIX = "status/"
 
 
+class Heard(NamedTuple):
+    """What one zone has heard of another zone.
+
+    Attributes:
+        zone: The other zone.
+        age_ms: Time since it was last heard from when the status was written.
+        version: Highest version that it reported.
+    """
+
+    zone: str
+    age_ms: int
+    version: int
+
+
 class ZoneStatus(NamedTuple):
     """The status that a zone wrote.
 
@@ -19,6 +33,7 @@
             status does not name it.
         written_ms: When it was written, in milliseconds since 1970, or 0.
         members: One table for each proxy, as on a daemon's ``/status``.
+        heard: What the zone has heard of other zones.
     """
 
     zone: str
@@ -26,6 +41,19 @@
     highest_version: int = 0
     written_ms: int = 0
     members: tuple[dict[str, Any], ...] = ()
+    heard: tuple[Heard, ...] = ()
+
+    @property
+    def rejected(self) -> tuple[int, str]:
+        """Highest version that a proxy rejected, and its code; 0 if none."""
+        found = (
+            (
+                _number(member.get("rejected_version")) or 0,
+                str(member.get("rejected_code") or "no code"),
+            )
+            for member in self.members
+        )
+        return max(found, default=(0, ""))
 
 
 def _number(value: Any) -> int | None:
@@ -34,11 +62,22 @@
     return value
 
 
-def _members(value: Any) -> tuple[dict[str, Any], ...]:
+def _tables(value: Any) -> tuple[dict[str, Any], ...]:
     rows = value if isinstance(value, list) else []
     return tuple(row for row in rows if isinstance(row, dict))
 
 
+def _heard(value: Any) -> tuple[Heard, ...]:
+    return tuple(
+        Heard(
+            str(row.get("zone", "")),
+            _number(row.get("age_ms")) or 0,
+            _number(row.get("version")) or 0,
+        )
+        for row in _tables(value)
+    )
+
+
 def path(zone: str) -> str:
     """Returns the path of a zone's status in the store."""
     return f"{PREFIX}{zone}"
@@ -58,7 +97,8 @@
         lowest,
         max(_number(table.get("highest_version")) or 0, lowest or 0),
         _number(table.get("written_ms")) or 0,
-        _members(table.get("members")),
+        _tables(table.get("proxies")),
+        _heard(table.get("heard")),
     )
 
 
--- a/rattangauge/membership/status.py
+++ b/rattangauge/membership/status.py
@@ -22,6 +22,14 @@
     rejected_code: str
 
 
+class HeardZone(TypedDict):
+    """What was heard of another zone; ``age_ms`` is the time since then."""
+
+    zone: str
+    age_ms: int
+    version: int
+
+
 class ZoneStatus(TypedDict):
     """Status of a zone.
 
@@ -41,6 +49,7 @@
     slowest: str
     store_reachable: bool | None
     proxies: list[ProxyStatus]
+    heard: list[HeardZone]
 
 
 class Progress(NamedTuple):
@@ -90,6 +99,19 @@
     )
 
 
+def _heard(table: members_module.MemberTable, now: float) -> list[HeardZone]:
+    known = table.summaries
+    return [
+        HeardZone(
+            zone=zone,
+            age_ms=round(1000 * known.age_s(zone, now)),
+            version=summary.version,
+        )
+        for zone, summary in sorted(known.summaries.items())
+        if zone != table.own.zone
+    ]
+
+
 def build(
     table: members_module.MemberTable,
     progress: Progress,
@@ -121,6 +143,7 @@
         slowest=progress.slowest,
         store_reachable=store_reachable,
         proxies=[_proxy(member, table, now) for member in records],
+        heard=_heard(table, now),
     )
 
 
@@ -129,4 +152,5 @@
     table: dict[str, Any] = {**status}
     del table["written_ms"]
     table["proxies"] = [{**proxy, "age_ms": 0} for proxy in status["proxies"]]
+    table["heard"] = [{**heard, "age_ms": 0} for heard in status["heard"]]
     return table
--- a/rattangauge/net/statuswriter.py
+++ b/rattangauge/net/statuswriter.py
@@ -13,6 +13,7 @@
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.config import pulls
+from rattangauge.config import versions
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.membership import members
@@ -21,7 +22,10 @@
 from rattangauge.net import platform
 
 CHECK_PERIOD_S = 0.1
-MAX_RETRY_S = 30.0
+MAX_RETRY_S = 8.0
+# An unchanged status is written again after this time, so that its age tells
+# whether the zone reaches the store: 3 writes a second for 12 zones.
+REWRITE_S = 4.0
 
 
 class StatusWriter:
@@ -33,15 +37,18 @@
         store: platform.Store,
         table: members.MemberTable,
         follower: follow.Follower,
+        holder: versions.Holder,
     ) -> None:
         """Creates the writer; ``run`` starts it."""
         self._settings = settings
         self._store = store
         self._members = table
         self._follower = follower
+        self._holder = holder
         self._random = random_module.Random()
         self._progress = status.Progress()
         self._written: dict[str, Any] = {}
+        self._written_at = 0.0
         # Version of the status object; None if it must be read first.
         self._stored_version: int | None = None
 
@@ -61,7 +68,8 @@
         return {
             **self.build(),
             "instance": own.instance,
-            "version": own.version,
+            "version": self._holder.version,
+            "digest": self._holder.digest,
             "members": [
                 {
                     **member._asdict(),
@@ -134,7 +142,9 @@
     async def _write(self) -> None:
         current = self.build()
         content = status.without_times(current)
-        if content == self._written and self._stored_version is not None:
+        is_new = anyio.current_time() - self._written_at < REWRITE_S
+        is_stored = self._stored_version is not None
+        if is_new and is_stored and content == self._written:
             return
         path = f"status/{self._members.own.zone}"
         if self._stored_version is None:
@@ -152,3 +162,4 @@
                 return
             raise
         self._written = content
+        self._written_at = anyio.current_time()
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -107,7 +107,11 @@
             settings, store, self._members, self._spread
         )
         self._status_writer = statuswriter.StatusWriter(
-            settings, store, self._members, self._follower
+            settings,
+            store,
+            self._members,
+            self._follower,
+            self._spread.holder,
         )
 
     async def run(self) -> None:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -166,7 +166,7 @@
     proxies = [{"instance": "a", "version": 1}, {"instance": "b"}]
     put_status(store, "zone-1", lowest_version=1)
     assert rattangauge("apply", path, "--wait")[0] == 0
-    put_status(store, "zone-2", lowest_version=0, members=proxies)
+    put_status(store, "zone-2", lowest_version=0, proxies=proxies)
     code, _, err = rattangauge("apply", path, "--wait", "--wait-s", "0.2")
     assert code == 6
     assert "zone-2 (1 of 2 proxies are behind)" in err
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -1,5 +1,7 @@
 """Tests of the plan of a publish and of the log."""
 
+import json
+
 import pytest
 
 from rattangauge import errors
@@ -9,6 +11,8 @@
 from rattangauge.config import publish
 from rattangauge.config import zones
 from rattangauge.generated import objects as generated
+from rattangauge.membership import members as members_module
+from rattangauge.membership import status as status_module
 from tests import builders
 
 
@@ -132,6 +136,49 @@
         "it reports no configuration in force",
     ]
     assert [zone.reason for zone in made.zones] == [
-        "3 of 4 proxies are behind",
+        "3 of 4 proxies are behind; version 3 was rejected [no code]",
         "its status is missing or cannot be read",
     ]
+
+
+def test_report_names_a_silent_zone_and_who_hears_it():
+    """Guards against a zone that looks current while it lacks the store."""
+    heard = (zones.Heard("y", 2000, 3),)
+    statuses = [
+        zones.ZoneStatus("y", 3, 3, 1_000),
+        zones.ZoneStatus("z", 3, 3, 15_000, heard=heard),
+    ]
+    made = progress.report(3, None, statuses, 16_000)
+    assert [zone.reporting for zone in made.zones] == [False, True]
+    text = "its status is 15 s old; z heard from it 3 s ago at version 3"
+    assert [zone.reason for zone in made.zones] == [text, ""]
+
+
+def test_rejection_by_a_gateway_explains_the_other_proxies():
+    """Guards against a zone that does not tell why it stays behind."""
+    members = (
+        {"instance": "a", "version": 2},
+        {
+            "instance": "b",
+            "version": 2,
+            "rejected_version": 3,
+            "rejected_code": "object.reference",
+        },
+    )
+    status = zones.ZoneStatus("z", 2, 2, 1, members)
+    made = progress.report(3, None, [status], 2)
+    text = "a gateway of its zone rejected version 3 [object.reference]"
+    assert made.proxies[0].reason == text
+    assert made.zones[0].reason == (
+        "2 of 2 proxies are behind; version 3 was rejected [object.reference]"
+    )
+
+
+def test_status_that_a_zone_writes_is_read():
+    """Guards against a writer and a reader that use different keys."""
+    own = builders.member("a", version=2)
+    table = members_module.MemberTable(own)
+    written = status_module.build(table, status_module.Progress(), True, 1, 7)
+    read = zones.parse(own.zone, json.dumps(written).encode())
+    assert [row["instance"] for row in read.members] == ["a"]
+    assert (read.lowest_version, read.written_ms) == (2, 7)
