Extend the chaos run by planned stops, bad editions and a lost zone

Cause: the schedule had no planned stop, no loss of a whole zone and no bad edition in the store; operators wrote the head directly, so the publisher and its races were not part of the run; P2, P3, P7 and P8 were not judged.

Change: new kinds stop_gracefully and upstream_drain (slow uploads and long answers run beside them; only faults of the platform and of operators overlap them, so that an interrupted call is the fault of the stop), zone_kill and bad_edition. Each (version, digest) that a daemon reports must be in the log of the store's head, bad editions excepted. lost_publishes compares digests with that log instead of versions with the head, which is stricter; a forked version therefore also counts as a lost publish. The caller stand-in can send a body slowly.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+from collections.abc import AsyncIterator
 import itertools
 import json
 import random
@@ -24,6 +25,7 @@
 LATENCY_DIGITS = 3
 CALL_TIMEOUT_S = 30.0
 MAX_CONNECTIONS = 500
+BODY_PIECES = 20
 
 ANSWERED = "answered"
 NOT_RUN = "not_run"
@@ -49,6 +51,7 @@
         token: Token to echo; empty for a fresh one.
         query: More of the query, such as ``work_ms=5``.
         headers: More headers.
+        body_s: Time over which the body is sent, in seconds.
     """
 
     path: str
@@ -59,6 +62,7 @@
     token: str = ""
     query: str = ""
     headers: tuple[tuple[bytes, bytes], ...] = ()
+    body_s: float = 0.0
 
 
 class Result(NamedTuple):
@@ -115,6 +119,19 @@
     return ""
 
 
+async def _slow_body(call: Call) -> AsyncIterator[bytes]:
+    size = max(1, call.body_bytes // BODY_PIECES)
+    for begin in range(0, call.body_bytes, size):
+        await anyio.sleep(call.body_s / BODY_PIECES)
+        yield b"x" * min(size, call.body_bytes - begin)
+
+
+def _body(call: Call) -> bytes | AsyncIterator[bytes] | None:
+    if call.body_s:
+        return _slow_body(call)
+    return b"x" * call.body_bytes if call.body_bytes else None
+
+
 def _failure(answer: Answer) -> tuple[str, str]:
     """Returns outcome and detail of an answer that is no upstream's."""
     header = answer.headers.get(b"rattangauge-outcome", b"").decode()
@@ -210,7 +227,7 @@
             call.method,
             f"http://{address}{target}",
             headers=headers,
-            content=b"x" * call.body_bytes if call.body_bytes else None,
+            content=_body(call),
         )
         names = {name.lower(): value for name, value in response.headers}
         return Answer(response.status, names, response.content)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -53,3 +53,8 @@
         runs = (await fleet.counters("a"))["runs"]
         results = caller.recorder.results
         assert {runs[result.token] for result in results} == {1}
+        slow = caller_module.Call(
+            "/skladby", "POST", body_bytes=1_001, body_s=0.2
+        )
+        async with caller_module.Caller([address], 2) as caller:
+            assert (await caller.call(slow)).outcome == caller_module.ANSWERED
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -15,11 +15,11 @@
 
 SOUND = invariants.History(
     versions=(
-        VERSION(1.0, "a", 1),
-        VERSION(2.0, "a", 2),
+        VERSION(1.0, "a", 1, "d1"),
+        VERSION(2.0, "a", 2, "d2"),
         VERSION(3.0, "a", 0),
-        VERSION(4.0, "a", 2),
-        VERSION(4.0, "b", 1),
+        VERSION(4.0, "a", 2, "d2"),
+        VERSION(4.0, "b", 1, "d1"),
     ),
     calls=(
         seen(caller.ANSWERED),
@@ -33,6 +33,9 @@
     runs={"t1": 1, "t3": 1, "t4": 2, "t5": 1},
     final={"a": 2, "b": 2},
     head=2,
+    published={1: "d1", 2: "d2"},
+    long_calls=(seen(caller.ANSWERED), seen(caller.NOT_RUN, token="t2")),
+    late=(("a", 0),),
 )
 
 
@@ -44,7 +47,10 @@
 @pytest.mark.parametrize(
     ("rule", "changes"),
     [
-        ("versions_back", {"versions": (*SOUND.versions, VERSION(5, "a", 1))}),
+        (
+            "versions_back",
+            {"versions": (*SOUND.versions, VERSION(5, "a", 1, "d1"))},
+        ),
         ("wrong_answers", {"calls": (seen(caller.WRONG),)}),
         ("not_run_but_ran", {"calls": (seen(caller.NOT_RUN),)}),
         (
@@ -60,12 +66,32 @@
         ("answered_but_not_run", {"runs": {**SOUND.runs, "t4": 0}}),
         (
             "forked_versions",
-            {"publishes": (*SOUND.publishes, PUBLISH(2.0, 2, "other"))},
+            {
+                "publishes": (
+                    PUBLISH(0.0, 4, "d4"),
+                    PUBLISH(1.0, 4, "other"),
+                ),
+                "published": {**SOUND.published, 4: "d4"},
+            },
         ),
         (
             "lost_publishes",
             {"publishes": (*SOUND.publishes, PUBLISH(2.0, 3, "d3"))},
         ),
+        (
+            "lost_publishes",
+            {"publishes": (PUBLISH(1.0, 2, "other"),)},
+        ),
+        (
+            "unpublished_editions",
+            {"versions": (VERSION(1.0, "a", 2, "bad"),)},
+        ),
+        ("unpublished_editions", {"versions": (VERSION(1.0, "a", 3, "d2"),)}),
+        ("interrupted_calls", {"long_calls": (seen(caller.BROKEN),)}),
+        ("interrupted_calls", {"long_calls": (seen(caller.WRONG),)}),
+        ("interrupted_calls", {"long_calls": (seen(caller.UNKNOWN),)}),
+        ("late_work", {"late": (("a", 1),)}),
+        ("failed_stops", {"failed_stops": (("a", -9),)}),
         ("daemons_died", {"died": ("a",)}),
         ("not_converged", {"final": {"a": 2, "b": 1}}),
         ("not_converged", {"final": {"a": 2, "b": 0}}),
@@ -74,7 +100,10 @@
 def test_violation_is_detected(rule, changes):
     """Guards against a check that no longer sees what it is for."""
     found = invariants.check(SOUND._replace(**changes))
-    assert [violation.rule for violation in found] == [rule]
+    rules = [violation.rule for violation in found]
+    # Only one content of a forked version can be in the store's log.
+    lost = ["lost_publishes"] if rule == "forked_versions" else []
+    assert rules == [rule, *lost]
 
 
 def test_step_back_over_a_restart_is_detected():
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -51,3 +51,15 @@
         raise AssertionError("a run began without time")
 
     assert await schedule.shorten(faults, fails, lambda: False) == faults
+
+
+def test_planned_stops_have_calm_company():
+    """Guards against calls that another fault interrupts beside a stop."""
+    for seed in range(200):
+        faults = schedule.generate(seed, 8, 6, 3)
+        for slot in range(8):
+            kinds = {fault.kind for fault in faults if fault.slot == slot}
+            if kinds & set(schedule.STOP_KINDS):
+                assert kinds & set(schedule.CALM_KINDS)
+            if "zone_kill" in kinds:
+                assert not kinds & set(schedule.DAEMON_KINDS)
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -7,6 +7,7 @@
 
 import argparse
 import collections
+from collections.abc import Iterable
 import contextlib
 import itertools
 import sys
@@ -14,12 +15,15 @@
 import anyio
 import httpx
 
+from rattangauge.config import head as head_module
 from standins import caller as caller_module
 from tools import faults as faults_module
 from tools import fleet as fleet_module
 from tools import invariants
+from tools import operators as operators_module
 from tools import publishing
 from tools import schedule
+from tools import stopping
 
 ZONES = 3
 SERVICES = ("nahravky", "objednavky", "skladby")
@@ -30,6 +34,7 @@
 REPEATS = 3
 UPSET_BYTES = 2_000_000
 UPSET_HOLD_S = 1.0
+HEAL_S = 20.0
 SHORTEN_S = 180.0
 SHOWN_VIOLATIONS = 4
 SHOWN_LINES = 12
@@ -52,8 +57,9 @@
         """Creates a run in a fleet that has started."""
         self._fleet = fleet
         objects = publishing.read([OBJECTS])
-        self._operators = faults_module.Operators(fleet, objects)
-        self._faults = faults_module.Faults(fleet, self._operators)
+        self._operators = operators_module.Operators(fleet, objects)
+        self._stops = stopping.Stops(fleet)
+        self._faults = faults_module.Faults(fleet, self._operators, self._stops)
         self._addresses = [ports.callers for ports in fleet.ports.values()]
         self._caller = caller_module.Caller(self._addresses, seed)
         self._versions: list[invariants.SeenVersion] = []
@@ -63,7 +69,7 @@
         self, faults: tuple[schedule.Fault, ...]
     ) -> invariants.History:
         """Runs all faults and returns the history."""
-        await self._operators.publish()
+        await self._operators.publish_all()
         await self._fleet.wait_version(1)
         async with self._caller, anyio.create_task_group() as tasks:
             background = anyio.CancelScope()
@@ -90,12 +96,12 @@
                 await anyio.sleep(schedule.MIN_LENGTH_S / 2)
                 await self._operators.publish()
 
-    async def _heal(self) -> int:
+    async def _heal(self) -> head_module.Head | None:
         """Waits until all daemons have the head's version; returns it."""
-        await self._operators.publish()
-        head = await self._operators.head_version()
+        await self._operators.heal(HEAL_S)
+        head = await self._operators.head()
         with contextlib.suppress(TimeoutError):
-            await self._fleet.wait_version(head)
+            await self._fleet.wait_version(head.version if head else 0)
         return head
 
     async def _call_all(self) -> None:
@@ -144,7 +150,9 @@
                     status = (await client.get(url)).json()
                     at_s = anyio.current_time() - self._started
                     self._versions.append(
-                        invariants.SeenVersion(at_s, name, status["version"])
+                        invariants.SeenVersion(
+                            at_s, name, status["version"], status["digest"]
+                        )
                     )
                 await anyio.sleep(POLL_PERIOD_S)
 
@@ -153,11 +161,10 @@
             return (await self._fleet.status(name))["version"]
         return 0
 
-    async def _history(self, head: int) -> invariants.History:
-        runs: collections.Counter[str] = collections.Counter()
-        for name in self._fleet.workers:
-            runs.update((await self._fleet.counters(name))["runs"])
-        calls = tuple(
+    def _seen(
+        self, results: list[caller_module.Result]
+    ) -> tuple[invariants.SeenCall, ...]:
+        return tuple(
             invariants.SeenCall(
                 result.at_s - self._started,
                 result.token,
@@ -165,24 +172,38 @@
                 result.outcome,
                 result.detail,
             )
-            for result in self._caller.recorder.results
+            for result in results
         )
+
+    async def _history(
+        self, head: head_module.Head | None
+    ) -> invariants.History:
+        head_version = head.version if head else 0
+        runs = collections.Counter(self._stops.runs)
+        for name in self._fleet.workers:
+            runs.update((await self._fleet.counters(name))["runs"])
+        long_calls = self._seen(self._stops.results)
+        calls = self._seen(self._caller.recorder.results)
         publishes = tuple(
             seen._replace(at_s=seen.at_s - self._started)
             for seen in self._operators.accepted
         )
         final = {name: await self._final(name) for name in self._fleet.workers}
         for name, version in final.items():
-            if version != head:
+            if version != head_version:
                 _print_errors(name, self._fleet.log_text(name))
         return invariants.History(
             tuple(self._versions),
-            calls,
+            (*calls, *long_calls),
             publishes,
             runs,
             final,
-            head,
+            head_version,
             self._faults.died,
+            self._operators.published(head),
+            long_calls,
+            tuple(self._stops.late),
+            tuple(self._stops.failed),
         )
 
 
@@ -204,12 +225,17 @@
     print("\n".join(lines[-SHOWN_LINES:]), flush=True)
 
 
+def _count(calls: Iterable[invariants.SeenCall]) -> str:
+    outcomes = collections.Counter(call.outcome for call in calls)
+    return ", ".join(f"{n} {name}" for name, n in sorted(outcomes.items()))
+
+
 def describe(history: invariants.History) -> str:
     """Returns one line about the size of a history."""
-    outcomes = collections.Counter(call.outcome for call in history.calls)
-    counts = ", ".join(f"{n} {name}" for name, n in sorted(outcomes.items()))
     return (
-        f"{len(history.calls)} calls ({counts}), "
+        f"{len(history.calls)} calls ({_count(history.calls)}), "
+        f"{len(history.long_calls)} of them long ones beside stops "
+        f"({_count(history.long_calls)}), "
         f"{len(history.publishes)} publishes, head {history.head}, "
         f"{len(history.versions)} observations of versions"
     )
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -7,76 +7,14 @@
 
 import anyio
 
-from rattangauge import errors
-from rattangauge.config import edition as edition_module
-from rattangauge.config import head as head_module
-from rattangauge.config import objects as objects_module
-from rattangauge.generated import objects as generated
-from rattangauge.net import platform
 from tools import fleet as fleet_module
-from tools import invariants
+from tools import operators as operators_module
 from tools import schedule
+from tools import stopping
 
 DELAY_S = 0.2
 PLATFORM_DELAY_S = 1.5
 SLOW_FACTOR = 20.0
-STORE_TIMEOUT_S = 3.0
-
-
-class Operators:
-    """Operators who publish, and what the store accepted."""
-
-    def __init__(
-        self, fleet: fleet_module.Fleet, objects: objects_module.ObjectSet
-    ) -> None:
-        """Creates operators who vary one set of objects."""
-        self._fleet = fleet
-        self._objects = objects
-        self._numbers = 0
-        self.accepted: list[invariants.SeenPublish] = []
-
-    async def head_version(self) -> int:
-        """Returns the version of the store's head; 0 if there is none.
-
-        Raises:
-            errors.CodedError: The store does not answer.
-        """
-        url = self._fleet.platform_url
-        async with platform.open_client(url, STORE_TIMEOUT_S) as client:
-            stored = await platform.HttpStore(client).get(head_module.PATH)
-        return head_module.parse(stored.data).version if stored else 0
-
-    def _next_objects(self) -> objects_module.ObjectSet:
-        self._numbers += 1
-        name = f"publish-{self._numbers}"
-        policies = {
-            **self._objects["policy"],
-            name: generated.Policy(name, timeout_ms=self._numbers),
-        }
-        return {**self._objects, "policy": policies}
-
-    async def publish(self, version: int = 0) -> None:
-        """Publishes another set; a store that refuses is no fault here.
-
-        Args:
-            version: Version to make; the one after the head if 0.
-        """
-        objects = self._next_objects()
-        digest = edition_module.digest_of(edition_module.encode(objects))
-        with contextlib.suppress(errors.CodedError):
-            version = version or await self.head_version() + 1
-            url = self._fleet.platform_url
-            await fleet_module.put_edition(url, version, objects, True)
-            seen = invariants.SeenPublish(anyio.current_time(), version, digest)
-            self.accepted.append(seen)
-
-    async def race(self) -> None:
-        """Lets two operators publish the same version at the same time."""
-        with contextlib.suppress(errors.CodedError):
-            version = await self.head_version() + 1
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.publish, version)
-                tasks.start_soon(self.publish, version)
 
 
 Action = Callable[[], Awaitable[None]]
@@ -89,10 +27,16 @@
 class Faults:
     """Actions that start and heal each kind of fault."""
 
-    def __init__(self, fleet: fleet_module.Fleet, operators: Operators) -> None:
+    def __init__(
+        self,
+        fleet: fleet_module.Fleet,
+        operators: operators_module.Operators,
+        stops: stopping.Stops,
+    ) -> None:
         """Creates the actions for a fleet that runs through the relay."""
         self._fleet = fleet
         self._operators = operators
+        self._stops = stops
         self._died: set[str] = set()
 
     async def run(self, fault: schedule.Fault) -> None:
@@ -114,6 +58,12 @@
             return self._platform_actions(fault)
         if fault.kind == "operators_race":
             return self._operators.race, _nothing
+        if fault.kind == "bad_edition":
+            return self._operators.force_bad, self._operators.repair
+        if fault.kind == "zone_kill":
+            return self._zone_kill(fault.target)
+        if fault.kind in schedule.STOP_KINDS:
+            return self._stop_actions(fault)
         return self._upstream_actions(fault)
 
     @property
@@ -157,6 +107,32 @@
 
         return stop, resume
 
+    def _zone_kill(self, zone: int) -> tuple[Action, Action]:
+        workers = self._fleet.workers
+        names = [name for name in workers if workers[name].zone == zone]
+
+        async def kill() -> None:
+            for name in names:
+                await self._kill(name)
+
+        async def start() -> None:
+            for name in names:
+                await self._fleet.start_daemon(name)
+
+        return kill, start
+
+    def _stop_actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
+        name = self._name(fault)
+        if fault.kind == "stop_gracefully":
+            return (
+                lambda: self._stops.stop_daemon(name),
+                lambda: self._fleet.start_daemon(name),
+            )
+        return (
+            lambda: self._stops.drain_upstream(name),
+            lambda: self._stops.restart_upstream(name),
+        )
+
     def _zone_actions(self, fault: schedule.Fault) -> tuple[Action, Action]:
         one, other = fault.target, fault.other
         if fault.kind == "delay":
--- a/tools/invariants.py
+++ b/tools/invariants.py
@@ -13,11 +13,12 @@
 
 
 class SeenVersion(NamedTuple):
-    """Version that the status of a daemon showed; 0 is none yet."""
+    """Edition that the status of a daemon showed; version 0 is none yet."""
 
     at_s: float
     instance: str
     version: int
+    digest: str = ""
 
 
 class SeenCall(NamedTuple):
@@ -57,6 +58,11 @@
         final: Version of each daemon after healing.
         head: Version of the store's head after healing.
         died: Daemons that ended without being killed.
+        published: Digest of each version that was published whole.
+        long_calls: Slow uploads and long answers beside planned stops.
+        late: Calls that began at each upstream 5 s after it announced that it
+            leaves, or later.
+        failed_stops: Daemons whose planned stop failed, and their exit codes.
     """
 
     versions: tuple[SeenVersion, ...] = ()
@@ -66,6 +72,10 @@
     final: Mapping[str, int] = {}
     head: int = 0
     died: tuple[str, ...] = ()
+    published: Mapping[int, str] = {}
+    long_calls: tuple[SeenCall, ...] = ()
+    late: tuple[tuple[str, int], ...] = ()
+    failed_stops: tuple[tuple[str, int], ...] = ()
 
 
 class Violation(NamedTuple):
@@ -95,7 +105,7 @@
     """
     highest: dict[str, int] = {}
     found = []
-    for at_s, instance, version in seen:
+    for at_s, instance, version, _ in seen:
         before = highest.get(instance, 0)
         if 0 < version < before:
             text = f"version {version} after version {before}"
@@ -171,16 +181,59 @@
 
 
 def lost_publishes(history: History) -> list[Violation]:
-    """Finds accepted versions above the head that the store has in the end."""
+    """Finds accepted editions that the store's log lacks in the end."""
     return [
         Violation(
             "lost_publishes",
             publish.at_s,
             str(publish.version),
-            f"the head has version {history.head}",
+            f"the log of the head {history.head} lacks {publish.digest[:12]}",
         )
         for publish in history.publishes
-        if publish.version > history.head
+        if history.published.get(publish.version) != publish.digest
+    ]
+
+
+def unpublished_editions(history: History) -> list[Violation]:
+    """Finds editions in force that were not published whole (P2, P3)."""
+    return [
+        Violation(
+            "unpublished_editions",
+            seen.at_s,
+            seen.instance,
+            f"version {seen.version} with digest {seen.digest[:12]}",
+        )
+        for seen in history.versions
+        if seen.version and history.published.get(seen.version) != seen.digest
+    ]
+
+
+def interrupted_calls(calls: Iterable[SeenCall]) -> list[Violation]:
+    """Finds long calls that a planned stop interrupted (P8).
+
+    A call that had to wait may be refused as not run.
+    """
+    return [
+        Violation("interrupted_calls", call.at_s, call.token, call.detail)
+        for call in calls
+        if call.outcome not in (caller.ANSWERED, caller.NOT_RUN)
+    ]
+
+
+def late_work(late: Iterable[tuple[str, int]]) -> list[Violation]:
+    """Finds upstreams that got new work long after they announced (P7)."""
+    return [
+        Violation("late_work", AT_END_S, name, f"{count} calls began")
+        for name, count in late
+        if count
+    ]
+
+
+def failed_stops(stops: Iterable[tuple[str, int]]) -> list[Violation]:
+    """Finds planned stops that did not end by themselves with 0 (P8)."""
+    return [
+        Violation("failed_stops", AT_END_S, name, f"exit code {code}")
+        for name, code in stops
     ]
 
 
@@ -216,6 +269,10 @@
         *answered_but_not_run(history.calls, history.runs),
         *forked_versions(history.publishes),
         *lost_publishes(history),
+        *unpublished_editions(history),
+        *interrupted_calls(history.long_calls),
+        *late_work(history.late),
+        *failed_stops(history.failed_stops),
         *daemons_died(history.died),
         *not_converged(history.final, history.head),
     ]
--- a/tools/schedule.py
+++ b/tools/schedule.py
@@ -15,8 +15,22 @@
     "platform_lose_replies",
     "platform_cut",
 )
-OTHER_KINDS = ("operators_race", "upstream_slow", "upstream_drop_answers")
-KINDS = (*DAEMON_KINDS, *ZONE_KINDS, *PLATFORM_KINDS, *OTHER_KINDS)
+OPERATOR_KINDS = ("operators_race", "bad_edition")
+UPSTREAM_KINDS = ("upstream_slow", "upstream_drop_answers")
+# Planned stops, which interrupt no call.
+STOP_KINDS = ("stop_gracefully", "upstream_drain")
+KINDS = (
+    *DAEMON_KINDS,
+    "zone_kill",
+    *ZONE_KINDS,
+    *PLATFORM_KINDS,
+    *OPERATOR_KINDS,
+    *UPSTREAM_KINDS,
+    *STOP_KINDS,
+)
+# Kinds that interrupt no call, so that beside a planned stop an interrupted
+# call is the fault of the stop.
+CALM_KINDS = (*PLATFORM_KINDS, *OPERATOR_KINDS)
 
 FAULTS_PER_SLOT = 2
 MIN_LENGTH_S = 1.5
@@ -46,6 +60,21 @@
         return f"slot {self.slot}: {self.kind}, {place}, {self.length_s} s"
 
 
+def _may_overlap(one: str, other: str) -> bool:
+    kinds = {one, other}
+    if kinds & set(STOP_KINDS):
+        return bool(kinds & set(CALM_KINDS))
+    # A daemon of the killed zone cannot be killed or stopped once more.
+    return "zone_kill" not in kinds or not kinds & set(DAEMON_KINDS)
+
+
+def _kinds(source: random.Random) -> list[str]:
+    while True:
+        kinds = source.sample(KINDS, FAULTS_PER_SLOT)
+        if _may_overlap(*kinds):
+            return kinds
+
+
 def generate(
     seed: int, slots: int, workers: int, zones: int
 ) -> tuple[Fault, ...]:
@@ -60,12 +89,12 @@
     zone_pairs = list(itertools.combinations(range(1, zones + 1), 2))
     faults = []
     for slot in range(slots):
-        kinds = source.sample(KINDS, FAULTS_PER_SLOT)
+        kinds = _kinds(source)
         targets = source.sample(range(workers), FAULTS_PER_SLOT)
         pairs = source.sample(zone_pairs, FAULTS_PER_SLOT)
         for kind, target, pair in zip(kinds, targets, pairs, strict=True):
             one, other = source.sample(pair, 2)
-            is_zone = kind in ZONE_KINDS or kind == "platform_cut"
+            is_zone = kind in (*ZONE_KINDS, "platform_cut", "zone_kill")
             number = one if is_zone else target
             length_s = source.uniform(MIN_LENGTH_S, MAX_LENGTH_S)
             faults.append(Fault(slot, kind, number, other, round(length_s, 1)))
