Report a call as unknown if an earlier attempt of it may have run

Cause: an idempotent call whose first attempt was lost on a link that was cut is tried again.

The caller had sent the call once, so "not run" speaks of all attempts of the mesh; the calls with a key already handle this.

Change: the router remembers whether an attempt may have run; a later refusal is then reported as call.outcome_unknown, with the reason of the refusal.

--- a/rattangauge/calls/retry.py
+++ b/rattangauge/calls/retry.py
@@ -114,6 +114,25 @@
     return remaining(attempt.allowance, failure) > 0
 
 
+def settle(
+    last: exchange.CallFailed, may_have_run: bool
+) -> exchange.CallFailed:
+    """Returns the failure of a call after its last attempt.
+
+    Args:
+        last: Failure of the last attempt, which speaks of that attempt alone.
+        may_have_run: Whether an earlier attempt may have run.
+    """
+    if not may_have_run or last.outcome != messages.Outcome.NOT_RUN:
+        return last
+    text = f"an attempt may have run, the last one did not: {last.message}"
+    failure = exchange.unknown(text)
+    failure.retry_after_ms = last.retry_after_ms
+    failure.load = last.load
+    failure.allowance = last.allowance
+    return failure
+
+
 def backoff_s(number: int, retry_after_ms: int, uniform: float) -> float:
     """Returns the pause before a retry at the same upstream, in seconds.
 
--- a/rattangauge/net/router.py
+++ b/rattangauge/net/router.py
@@ -181,6 +181,7 @@
         progress = _Progress(request, respond)
         allowance = opened.allowance
         tried: list[str] = []
+        may_have_run = False
         while True:
             attempt = request._replace(
                 open=retry.with_allowance(opened, allowance),
@@ -192,7 +193,9 @@
             except exchange.CallFailed as failure:
                 if not self._may_repeat(attempt, progress, failure):
                     failure.allowance = retry.remaining(allowance, failure)
-                    raise
+                    raise retry.settle(failure, may_have_run) from None
+                if failure.outcome != messages.Outcome.NOT_RUN:
+                    may_have_run = True
                 allowance = retry.remaining(allowance, failure) - 1
                 await self._pause(target, tried, failure)
 
