Bound the chaos run and give it three exit codes

Cause: a run that could not be controlled or did not end had the exit code of a violation, or none at all. Change: a run ends after 240 s at the latest; the exit code is 0 without a violation, 1 with one and 2 if nothing was judged. While a schedule is shortened, a run that breaks off counts as one that does not show the violation.

--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -11,10 +11,12 @@
 import contextlib
 import itertools
 import sys
+import traceback
 
 import anyio
 import httpx
 
+from rattangauge import errors
 from rattangauge.config import head as head_module
 from standins import caller as caller_module
 from tools import faults as faults_module
@@ -35,6 +37,9 @@
 UPSET_BYTES = 2_000_000
 UPSET_HOLD_S = 1.0
 HEAL_S = 20.0
+# A run takes about a minute; one that hangs must end by itself.
+RUN_LIMIT_S = 240.0
+EXIT_OK, EXIT_VIOLATIONS, EXIT_NOT_JUDGED = 0, 1, 2
 SHORTEN_S = 180.0
 SHOWN_VIOLATIONS = 4
 SHOWN_LINES = 12
@@ -210,12 +215,17 @@
 async def run_schedule(
     seed: int, faults: tuple[schedule.Fault, ...]
 ) -> invariants.History:
-    """Runs a schedule in a new fleet and returns the history."""
+    """Runs a schedule in a new fleet and returns the history.
+
+    Raises:
+        TimeoutError: The run did not end in time.
+    """
     async with fleet_module.fleet(relayed=True) as fleet:
-        await fleet.start(*WORKERS)
-        for service in SERVICES:
-            await fleet.wait_serving(service, 2)
-        return await Run(fleet, seed).run(faults)
+        with anyio.fail_after(RUN_LIMIT_S):
+            await fleet.start(*WORKERS)
+            for service in SERVICES:
+                await fleet.wait_serving(service, 2)
+            return await Run(fleet, seed).run(faults)
 
 
 def _print_errors(name: str, text: str) -> None:
@@ -256,7 +266,20 @@
 
 
 async def run(options: argparse.Namespace) -> int:
-    """Runs the schedule of a seed and returns the exit code."""
+    """Runs the schedule of a seed and returns the exit code.
+
+    0 means no violation, 1 violations, and 2 that a run did not come to its
+    end, so that nothing was judged.
+    """
+    try:
+        return await _run(options)
+    except* (TimeoutError, httpx.HTTPError, errors.CodedError) as group:
+        traceback.print_exception(group)
+    print(f"seed {options.seed}: the run was not judged", flush=True)
+    return EXIT_NOT_JUDGED
+
+
+async def _run(options: argparse.Namespace) -> int:
     seed = options.seed
     faults = schedule.generate(seed, options.slots, len(WORKERS), ZONES)
     for fault in faults:
@@ -266,13 +289,17 @@
     violations = invariants.check(history)
     if not violations:
         print(f"seed {seed}: no violation")
-        return 0
+        return EXIT_OK
     rules = {violation.rule for violation in violations}
     end_s = anyio.current_time() + options.shorten_s
 
     async def fails(shorter: tuple[schedule.Fault, ...]) -> bool:
         nonlocal violations
-        found = invariants.check(await run_schedule(seed, shorter))
+        try:
+            found = invariants.check(await run_schedule(seed, shorter))
+        except* (TimeoutError, httpx.HTTPError, errors.CodedError):
+            # Such a run shows nothing of the violations that are looked for.
+            found = []
         if rules.isdisjoint(violation.rule for violation in found):
             return False
         violations = found
@@ -282,7 +309,7 @@
         faults, fails, lambda: anyio.current_time() < end_s
     )
     _print_failure(seed, faults, violations)
-    return 1
+    return EXIT_VIOLATIONS
 
 
 def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
