--- a/rattangauge/commands/status.py
+++ b/rattangauge/commands/status.py
@@ -14,7 +14,7 @@
 
 async def _from_store(options: store_module.StoreOptions) -> progress.Report:
     async with store_module.open_store(options) as store:
-        current = await archive.read(store)
+        current = await archive.read(store, allow_damaged=True)
         statuses = await archive.statuses(store, current.objects)
     return progress.report(
         current.version, current.head, statuses, util.now_ms()
@@ -37,7 +37,9 @@
     return progress.report(newest, None, statuses, util.now_ms())
 
 
-def _mark(behind: bool) -> str:
+def _mark(behind: bool, reporting: bool = True) -> str:
+    if not reporting:
+        return "not reporting"
     return "behind" if behind else "current"
 
 
@@ -49,7 +51,7 @@
             "-" if zone.lowest_version is None else zone.lowest_version,
             output.format_age(zone.age_ms),
             output.format_age(zone.status_age_ms),
-            _mark(zone.behind),
+            _mark(zone.behind, zone.reporting),
             zone.reason,
         ]
         for zone in report.zones
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -7,19 +7,25 @@
 
 import argparse
 import collections
+from collections.abc import Iterable
 import contextlib
 import itertools
 import sys
+import traceback
 
 import anyio
 import httpx
 
+from rattangauge import errors
+from rattangauge.config import head as head_module
 from standins import caller as caller_module
 from tools import faults as faults_module
 from tools import fleet as fleet_module
 from tools import invariants
+from tools import operators as operators_module
 from tools import publishing
 from tools import schedule
+from tools import stopping
 
 ZONES = 3
 SERVICES = ("nahravky", "objednavky", "skladby")
@@ -30,6 +36,10 @@
 REPEATS = 3
 UPSET_BYTES = 2_000_000
 UPSET_HOLD_S = 1.0
+HEAL_S = 20.0
+# A run takes about a minute; one that hangs must end by itself.
+RUN_LIMIT_S = 240.0
+EXIT_OK, EXIT_VIOLATIONS, EXIT_NOT_JUDGED = 0, 1, 2
 SHORTEN_S = 180.0
 SHOWN_VIOLATIONS = 4
 SHOWN_LINES = 12
@@ -52,8 +62,9 @@
         """Creates a run in a fleet that has started."""
         self._fleet = fleet
         objects = publishing.read([OBJECTS])
-        self._operators = faults_module.Operators(fleet, objects)
-        self._faults = faults_module.Faults(fleet, self._operators)
+        self._operators = operators_module.Operators(fleet, objects)
+        self._stops = stopping.Stops(fleet)
+        self._faults = faults_module.Faults(fleet, self._operators, self._stops)
         self._addresses = [ports.callers for ports in fleet.ports.values()]
         self._caller = caller_module.Caller(self._addresses, seed)
         self._versions: list[invariants.SeenVersion] = []
@@ -63,7 +74,7 @@
         self, faults: tuple[schedule.Fault, ...]
     ) -> invariants.History:
         """Runs all faults and returns the history."""
-        await self._operators.publish()
+        await self._operators.publish_all()
         await self._fleet.wait_version(1)
         async with self._caller, anyio.create_task_group() as tasks:
             background = anyio.CancelScope()
@@ -90,12 +101,12 @@
                 await anyio.sleep(schedule.MIN_LENGTH_S / 2)
                 await self._operators.publish()
 
-    async def _heal(self) -> int:
+    async def _heal(self) -> head_module.Head | None:
         """Waits until all daemons have the head's version; returns it."""
-        await self._operators.publish()
-        head = await self._operators.head_version()
+        await self._operators.heal(HEAL_S)
+        head = await self._operators.head()
         with contextlib.suppress(TimeoutError):
-            await self._fleet.wait_version(head)
+            await self._fleet.wait_version(head.version if head else 0)
         return head
 
     async def _call_all(self) -> None:
@@ -144,7 +155,9 @@
                     status = (await client.get(url)).json()
                     at_s = anyio.current_time() - self._started
                     self._versions.append(
-                        invariants.SeenVersion(at_s, name, status["version"])
+                        invariants.SeenVersion(
+                            at_s, name, status["version"], status["digest"]
+                        )
                     )
                 await anyio.sleep(POLL_PERIOD_S)
 
@@ -153,11 +166,10 @@
             return (await self._fleet.status(name))["version"]
         return 0
 
-    async def _history(self, head: int) -> invariants.History:
-        runs: collections.Counter[str] = collections.Counter()
-        for name in self._fleet.workers:
-            runs.update((await self._fleet.counters(name))["runs"])
-        calls = tuple(
+    def _seen(
+        self, results: list[caller_module.Result]
+    ) -> tuple[invariants.SeenCall, ...]:
+        return tuple(
             invariants.SeenCall(
                 result.at_s - self._started,
                 result.token,
@@ -165,36 +177,55 @@
                 result.outcome,
                 result.detail,
             )
-            for result in self._caller.recorder.results
+            for result in results
         )
+
+    async def _history(
+        self, head: head_module.Head | None
+    ) -> invariants.History:
+        head_version = head.version if head else 0
+        runs = collections.Counter(self._stops.runs)
+        for name in self._fleet.workers:
+            runs.update((await self._fleet.counters(name))["runs"])
+        long_calls = self._seen(self._stops.results)
+        calls = self._seen(self._caller.recorder.results)
         publishes = tuple(
             seen._replace(at_s=seen.at_s - self._started)
             for seen in self._operators.accepted
         )
         final = {name: await self._final(name) for name in self._fleet.workers}
         for name, version in final.items():
-            if version != head:
+            if version != head_version:
                 _print_errors(name, self._fleet.log_text(name))
         return invariants.History(
             tuple(self._versions),
-            calls,
+            (*calls, *long_calls),
             publishes,
             runs,
             final,
-            head,
+            head_version,
             self._faults.died,
+            self._operators.published(head),
+            long_calls,
+            tuple(self._stops.late),
+            tuple(self._stops.failed),
         )
 
 
 async def run_schedule(
     seed: int, faults: tuple[schedule.Fault, ...]
 ) -> invariants.History:
-    """Runs a schedule in a new fleet and returns the history."""
+    """Runs a schedule in a new fleet and returns the history.
+
+    Raises:
+        TimeoutError: The run did not end in time.
+    """
     async with fleet_module.fleet(relayed=True) as fleet:
-        await fleet.start(*WORKERS)
-        for service in SERVICES:
-            await fleet.wait_serving(service, 2)
-        return await Run(fleet, seed).run(faults)
+        with anyio.fail_after(RUN_LIMIT_S):
+            await fleet.start(*WORKERS)
+            for service in SERVICES:
+                await fleet.wait_serving(service, 2)
+            return await Run(fleet, seed).run(faults)
 
 
 def _print_errors(name: str, text: str) -> None:
@@ -204,12 +235,17 @@
     print("\n".join(lines[-SHOWN_LINES:]), flush=True)
 
 
+def _count(calls: Iterable[invariants.SeenCall]) -> str:
+    outcomes = collections.Counter(call.outcome for call in calls)
+    return ", ".join(f"{n} {name}" for name, n in sorted(outcomes.items()))
+
+
 def describe(history: invariants.History) -> str:
     """Returns one line about the size of a history."""
-    outcomes = collections.Counter(call.outcome for call in history.calls)
-    counts = ", ".join(f"{n} {name}" for name, n in sorted(outcomes.items()))
     return (
-        f"{len(history.calls)} calls ({counts}), "
+        f"{len(history.calls)} calls ({_count(history.calls)}), "
+        f"{len(history.long_calls)} of them long ones beside stops "
+        f"({_count(history.long_calls)}), "
         f"{len(history.publishes)} publishes, head {history.head}, "
         f"{len(history.versions)} observations of versions"
     )
@@ -230,7 +266,20 @@
 
 
 async def run(options: argparse.Namespace) -> int:
-    """Runs the schedule of a seed and returns the exit code."""
+    """Runs the schedule of a seed and returns the exit code.
+
+    0 means no violation, 1 violations, and 2 that a run did not come to its
+    end, so that nothing was judged.
+    """
+    try:
+        return await _run(options)
+    except* (TimeoutError, httpx.HTTPError, errors.CodedError) as group:
+        traceback.print_exception(group)
+    print(f"seed {options.seed}: the run was not judged", flush=True)
+    return EXIT_NOT_JUDGED
+
+
+async def _run(options: argparse.Namespace) -> int:
     seed = options.seed
     faults = schedule.generate(seed, options.slots, len(WORKERS), ZONES)
     for fault in faults:
@@ -240,13 +289,17 @@
     violations = invariants.check(history)
     if not violations:
         print(f"seed {seed}: no violation")
-        return 0
+        return EXIT_OK
     rules = {violation.rule for violation in violations}
     end_s = anyio.current_time() + options.shorten_s
 
     async def fails(shorter: tuple[schedule.Fault, ...]) -> bool:
         nonlocal violations
-        found = invariants.check(await run_schedule(seed, shorter))
+        try:
+            found = invariants.check(await run_schedule(seed, shorter))
+        except* (TimeoutError, httpx.HTTPError, errors.CodedError):
+            # Such a run shows nothing of the violations that are looked for.
+            found = []
         if rules.isdisjoint(violation.rule for violation in found):
             return False
         violations = found
@@ -256,7 +309,7 @@
         faults, fails, lambda: anyio.current_time() < end_s
     )
     _print_failure(seed, faults, violations)
-    return 1
+    return EXIT_VIOLATIONS
 
 
 def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
