Read the zone status that daemons write

Cause: `rattangauge status` read the key `members` of status/<zone>, but daemons write `proxies`, so it showed no proxy and "it has not received the newest version" in place of the reason. The test wrote the key that the reader wanted.

Ruled out: writing both keys, as a status would double in size.

Change: the reader takes `proxies`; a test builds the status with the writer and reads it with the command line's reader. A damaged edition is reported on standard error and the status of the zones is still shown. A version that members reject counts as the newest one that a daemon knows. `status` shows member and upstream state, when the proxy was last heard of and how many are gone. /ready tells whether the daemon drains.

Conclusion: status names every proxy that is behind, with the reason.

--- a/rattangauge/commands/daemon.py
+++ b/rattangauge/commands/daemon.py
@@ -71,6 +71,9 @@
         event["time_ms"] / 1000, datetime.UTC
     )
     code = f" [{event['code']}]" if event.get("code") else ""
+    if event["reason"].endswith(code):
+        # The reason of a finding has its code already.
+        code = ""
     time = moment.isoformat(timespec="milliseconds")
     subject = event["subject"]
     return f"{time} {subject}: {event['action']}: {event['reason']}{code}"
@@ -91,7 +94,7 @@
         text = f"the answer has no valid events: {error!r}"
         code = errorcodes.OPERATORS_REFUSED
         raise errors.CodedError(code, text, address) from error
-    print("\n".join(lines) or f"no events about {subject}")
+    print("\n".join(lines) or f"{address} remembers no events about {subject}")
     return output.EXIT_OK
 
 
@@ -101,5 +104,5 @@
     if as_json:
         output.print_json(table)
     else:
-        print(f"{address} drains")
+        print(f"{address} drains and exits when its calls have finished")
     return output.EXIT_OK
--- a/rattangauge/commands/status.py
+++ b/rattangauge/commands/status.py
@@ -8,13 +8,25 @@
 from rattangauge.commands import daemon
 from rattangauge.commands import output
 from rattangauge.commands import store as store_module
+from rattangauge.config import objects as objects_module
 from rattangauge.config import progress
 from rattangauge.generated import errorcodes
 
+_DAMAGED = (errorcodes.STORE_PROTOCOL, errorcodes.PUBLISH_NOT_KEPT)
+
 
 async def _from_store(options: store_module.StoreOptions) -> progress.Report:
     async with store_module.open_store(options) as store:
-        current = await archive.read(store)
+        try:
+            current = await archive.read(store)
+        except errors.CodedError as error:
+            if error.code not in _DAMAGED:
+                raise
+            # The zones still tell what they run and what they rejected.
+            output.complain(error)
+            stored_version, head = await archive.read_head(store)
+            empty = objects_module.empty()
+            current = archive.Current(stored_version, head, empty)
         statuses = await archive.statuses(store, current.objects)
     return progress.report(
         current.version, current.head, statuses, util.now_ms()
@@ -29,10 +41,11 @@
         raise errors.CodedError(errorcodes.OPERATORS_REFUSED, text, address)
     statuses = progress.from_members(members)
     own = table.get("version")
-    # A daemon knows the head only by the versions that the members report.
+    # A daemon knows the head only by what the members run or rejected.
     newest = max(
         [own if isinstance(own, int) else 0]
         + [status.highest_version for status in statuses]
+        + [progress.highest_rejected(status.proxies) for status in statuses]
     )
     return progress.report(newest, None, statuses, util.now_ms())
 
@@ -43,18 +56,30 @@
 
 def _print(report: progress.Report) -> None:
     print(f"newest version: {report.version}\n")
+    if not report.zones:
+        print("no zone has written its status yet")
+        return
     rows: list[list[Any]] = [
         [
             zone.zone,
             "-" if zone.lowest_version is None else zone.lowest_version,
             output.format_age(zone.age_ms),
             output.format_age(zone.status_age_ms),
+            zone.gone,
             _mark(zone.behind),
             zone.reason,
         ]
         for zone in report.zones
     ]
-    columns = ["zone", "version", "age", "status age", "state", "reason"]
+    columns = [
+        "zone",
+        "version",
+        "age",
+        "status age",
+        "gone",
+        "state",
+        "reason",
+    ]
     output.print_table(columns, rows)
     rows = [
         [
@@ -62,13 +87,19 @@
             proxy.instance,
             proxy.version,
             output.format_age(proxy.age_ms),
+            output.format_age(proxy.seen_ms),
+            proxy.member,
+            proxy.upstream,
             _mark(proxy.behind),
             proxy.reason,
         ]
         for proxy in report.proxies
     ]
     print()
-    columns = ["zone", "proxy", "version", "age", "state", "reason"]
+    columns = [
+        *("zone", "proxy", "version", "age", "seen", "member", "upstream"),
+        *("state", "reason"),
+    ]
     output.print_table(columns, rows)
 
 
--- a/rattangauge/config/progress.py
+++ b/rattangauge/config/progress.py
@@ -21,6 +21,10 @@
         instance: Its instance.
         version: Version in force; 0 if there is none.
         age_ms: Time since this version was published, or None if not known.
+        seen_ms: Time since the proxy was last heard of when the status was
+            written, or None if not known.
+        member: State of its daemon, such as ``alive``, or empty.
+        upstream: State of its upstream, such as ``serving``, or empty.
         behind: Whether it lacks the newest version.
         reason: Why it is behind, or empty.
     """
@@ -29,6 +33,9 @@
     instance: str
     version: int
     age_ms: int | None
+    seen_ms: int | None
+    member: str
+    upstream: str
     behind: bool
     reason: str
 
@@ -42,6 +49,7 @@
         highest_version: Highest version in force.
         age_ms: Time since the lowest version was published, or None.
         status_age_ms: Time since the zone wrote its status, or None.
+        gone: Proxies that are dead or have left.
         behind: Whether a proxy of the zone lacks the newest version.
         reason: Why it is behind, or empty.
     """
@@ -51,6 +59,7 @@
     highest_version: int
     age_ms: int | None
     status_age_ms: int | None
+    gone: int
     behind: bool
     reason: str
 
@@ -95,8 +104,18 @@
     behind = version < newest
     reason = _proxy_reason(member, version) if behind else ""
     instance = str(member.get("instance", ""))
-    age_ms = _age_ms(head, version, now_ms)
-    return Proxy(zone, instance, version, age_ms, behind, reason)
+    seen_ms = member.get("age_ms")
+    return Proxy(
+        zone,
+        instance,
+        version,
+        _age_ms(head, version, now_ms),
+        seen_ms if isinstance(seen_ms, int) else None,
+        str(member.get("state", "")),
+        str(member.get("upstream", "")),
+        behind,
+        reason,
+    )
 
 
 def _zone_reason(
@@ -133,11 +152,18 @@
         status.highest_version,
         _age_ms(head, lowest, now_ms),
         status_age_ms,
+        sum(member.get("state") in _GONE for member in status.proxies),
         behind,
         reason,
     )
 
 
+def highest_rejected(members: Iterable[dict[str, Any]]) -> int:
+    """Returns the highest version that a member rejected, or 0."""
+    values = [member.get("rejected_version") for member in members]
+    return max((v for v in values if isinstance(v, int)), default=0)
+
+
 def report(
     newest: int,
     head: head_module.Head | None,
@@ -156,7 +182,7 @@
     for status in statuses:
         proxies = [
             _proxy(status.zone, member, newest, head, now_ms)
-            for member in status.members
+            for member in status.proxies
             if member.get("state") not in _GONE
         ]
         made.proxies.extend(proxies)
@@ -168,7 +194,7 @@
     """Groups the members of a daemon's ``/status`` by zone."""
     by_zone: dict[str, list[dict[str, Any]]] = {}
     for member in members:
-        if isinstance(member, dict) and member.get("state") not in _GONE:
+        if isinstance(member, dict):
             by_zone.setdefault(str(member.get("zone", "")), []).append(member)
     return [_grouped(zone, by_zone[zone]) for zone in sorted(by_zone) if zone]
 
@@ -176,8 +202,9 @@
 def _grouped(
     zone: str, members: list[dict[str, Any]]
 ) -> zones_module.ZoneStatus:
-    values = [member.get("version") for member in members]
+    values = [m.get("version") for m in members if m.get("state") not in _GONE]
     versions = [value if isinstance(value, int) else 0 for value in values]
+    lowest, highest = min(versions, default=0), max(versions, default=0)
     return zones_module.ZoneStatus(
-        zone, min(versions), max(versions), members=tuple(members)
+        zone, lowest, highest, proxies=tuple(members)
     )
--- a/rattangauge/config/zones.py
+++ b/rattangauge/config/zones.py
@@ -18,14 +18,15 @@
         highest_version: Highest version in force; the lowest one if the
             status does not name it.
         written_ms: When it was written, in milliseconds since 1970, or 0.
-        members: One table for each proxy, as on a daemon's ``/status``.
+        proxies: One table for each proxy, with at least ``instance``,
+            ``version`` and ``state``.
     """
 
     zone: str
     lowest_version: int | None = None
     highest_version: int = 0
     written_ms: int = 0
-    members: tuple[dict[str, Any], ...] = ()
+    proxies: tuple[dict[str, Any], ...] = ()
 
 
 def _number(value: Any) -> int | None:
@@ -34,7 +35,7 @@
     return value
 
 
-def _members(value: Any) -> tuple[dict[str, Any], ...]:
+def _proxies(value: Any) -> tuple[dict[str, Any], ...]:
     rows = value if isinstance(value, list) else []
     return tuple(row for row in rows if isinstance(row, dict))
 
@@ -58,7 +59,7 @@
         lowest,
         max(_number(table.get("highest_version")) or 0, lowest or 0),
         _number(table.get("written_ms")) or 0,
-        _members(table.get("members")),
+        _proxies(table.get("proxies")),
     )
 
 
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -199,7 +199,8 @@
     async def _ready(self, _query: Any, _body: bytes) -> operators.Reply:
         version = self._router.version
         status = 200 if version and not self._drain.begun else 503
-        return operators.json_reply({"version": version}, status)
+        table = {"version": version, "draining": self._drain.begun}
+        return operators.json_reply(table, status)
 
     async def _status(self, _query: Any, _body: bytes) -> operators.Reply:
         return operators.json_reply(self._status_writer.view())
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -166,7 +166,7 @@
     proxies = [{"instance": "a", "version": 1}, {"instance": "b"}]
     put_status(store, "zone-1", lowest_version=1)
     assert rattangauge("apply", path, "--wait")[0] == 0
-    put_status(store, "zone-2", lowest_version=0, members=proxies)
+    put_status(store, "zone-2", lowest_version=0, proxies=proxies)
     code, _, err = rattangauge("apply", path, "--wait", "--wait-s", "0.2")
     assert code == 6
     assert "zone-2 (1 of 2 proxies are behind)" in err
@@ -176,6 +176,46 @@
     assert "zone-2" in rattangauge("status")[1]
 
 
+def test_status_shows_what_zones_run_when_the_edition_is_damaged(
+    rattangauge, store, tmp_path
+):
+    """Guards against no status at the time when it is needed most."""
+    assert rattangauge("apply", write(tmp_path, POLICY.format(1)))[0] == 0
+    proxies = [
+        {"instance": "a", "version": 0, "rejected_version": 1, "age_ms": 40},
+        {"instance": "b", "version": 1, "state": "dead"},
+    ]
+    put_status(store, "zone-1", lowest_version=0, proxies=proxies)
+    url = f"{store}/objects/head"
+    stored = httpx.get(url)
+    damaged = json.dumps({**stored.json(), "parts": ["0" * 64]})
+    condition = {"if-match": stored.headers["etag"]}
+    httpx.put(url, content=damaged, headers=condition).raise_for_status()
+    code, out, err = rattangauge("status", "--json")
+    report = json.loads(out)
+    assert (code, report["zones"][0]["gone"]) == (0, 1)
+    assert "a part of the edition is missing" in err
+    assert [proxy["instance"] for proxy in report["proxies"]] == ["a"]
+    assert report["proxies"][0]["seen_ms"] == 40
+    assert "rejected version 1" in report["proxies"][0]["reason"]
+
+
+def test_status_of_a_daemon_shows_rejected_versions(rattangauge, serve):
+    """Guards against "current" for a proxy that refuses the newest version."""
+    member = {"instance": "a", "zone": "z", "version": 1, "state": "alive"}
+    refused = {"rejected_version": 2, "rejected_code": "object.reference"}
+
+    async def answer(_query, _body):
+        members = [{**member, **refused}]
+        return operators.json_reply({"version": 1, "members": members})
+
+    app = operators.application({("GET", "/status"): answer})
+    out = rattangauge("status", "--daemon", serve(app), "--json")[1]
+    report = json.loads(out)
+    assert (report["version"], report["zones"][0]["behind"]) == (2, True)
+    assert "[object.reference]" in report["proxies"][0]["reason"]
+
+
 def daemon_app(requests):
     members = [
         {"instance": "a", "zone": "z", "version": 2, "state": "alive"},
@@ -216,7 +256,8 @@
     assert "version 2: put in force: it is newer" in out
     assert requests[-1] == {"subject": "version 2"}
     code, out, _ = rattangauge("drain", "--daemon", address)
-    assert (code, out) == (0, f"{address} drains\n")
+    expected = f"{address} drains and exits when its calls have finished\n"
+    assert (code, out) == (0, expected)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_zone_status.py
@@ -0,0 +1,26 @@
+"""The status that daemons write is the one that the command line reads."""
+
+import json
+
+from rattangauge.config import progress
+from rattangauge.config import zones
+from rattangauge.membership import members
+from rattangauge.membership import status
+from tests import builders
+
+
+def test_written_status_is_read_with_every_proxy():
+    """Guards against proxies that the command line does not see."""
+    table = members.MemberTable(builders.member("a", version=3))
+    behind = builders.member("b", version=2, rejected_version=3)
+    table.merge([behind])
+    written = status.build(table, status.Progress(), True, 0.0, 1000)
+    read = zones.parse("zone-1", json.dumps(written).encode())
+    made = progress.report(3, None, [read], 2000)
+    shown = [(p.instance, p.version, p.behind) for p in made.proxies]
+    assert shown == [("a", 3, False), ("b", 2, True)]
+    assert {p.member for p in made.proxies} == {"alive"}
+    assert {p.upstream for p in made.proxies} == {"serving"}
+    assert "rejected version 3" in made.proxies[1].reason
+    assert made.zones[0].reason == "1 of 2 proxies are behind"
+    assert made.zones[0].status_age_ms == 1000
