Show the status of the zones when the head cannot be read

Cause: trying the commands with a faulty head in the store: `status` printed the error twice and nothing else. Change: without a readable head, the newest version is the highest that a zone reports. The test of the damaged edition goes on to a damaged head. Conclusion: status helps in the case in which an operator needs it most.

--- a/rattangauge/commands/status.py
+++ b/rattangauge/commands/status.py
@@ -10,11 +10,30 @@
 from rattangauge.commands import store as store_module
 from rattangauge.config import objects as objects_module
 from rattangauge.config import progress
+from rattangauge.config import zones
 from rattangauge.generated import errorcodes
+from rattangauge.net import platform
 
 _DAMAGED = (errorcodes.STORE_PROTOCOL, errorcodes.PUBLISH_NOT_KEPT)
 
 
+async def _read_damaged(
+    store: platform.Store, error: errors.CodedError
+) -> archive.Current:
+    """Returns what can be read of a damaged head or edition.
+
+    The zones still tell what they run and what they rejected.
+    """
+    output.complain(error)
+    try:
+        stored_version, head = await archive.read_head(store)
+    except errors.CodedError as again:
+        if again.code not in _DAMAGED:
+            raise
+        stored_version, head = 0, None
+    return archive.Current(stored_version, head, objects_module.empty())
+
+
 async def _from_store(options: store_module.StoreOptions) -> progress.Report:
     async with store_module.open_store(options) as store:
         try:
@@ -22,15 +41,12 @@
         except errors.CodedError as error:
             if error.code not in _DAMAGED:
                 raise
-            # The zones still tell what they run and what they rejected.
-            output.complain(error)
-            stored_version, head = await archive.read_head(store)
-            empty = objects_module.empty()
-            current = archive.Current(stored_version, head, empty)
+            current = await _read_damaged(store, error)
         statuses = await archive.statuses(store, current.objects)
-    return progress.report(
-        current.version, current.head, statuses, util.now_ms()
-    )
+    newest = current.version
+    if current.head is None:
+        newest = zones.highest(statuses)
+    return progress.report(newest, current.head, statuses, util.now_ms())
 
 
 async def _from_daemon(address: str, timeout_s: float) -> progress.Report:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -198,6 +198,10 @@
     assert [proxy["instance"] for proxy in report["proxies"]] == ["a"]
     assert report["proxies"][0]["seen_ms"] == 40
     assert "rejected version 1" in report["proxies"][0]["reason"]
+    condition = {"if-match": httpx.get(url).headers["etag"]}
+    httpx.put(url, content="{}", headers=condition).raise_for_status()
+    code, out, err = rattangauge("status")
+    assert (code, "zone-1" in out, "[store.protocol]" in err) == (0, True, True)
 
 
 def test_status_of_a_daemon_shows_rejected_versions(rattangauge, serve):
