Test the floor after a restart

Cause: with the comparison with the floor taken out of versions.decide, the differential test still passed: random steps did not come to a daemon that offers an older version to one that has restarted (200 examples, one run). Ruled out: more random examples, as 200 take 2 s and the sequence has 8 steps. Change: the sequence is an explicit example of the differential test. A test checks that a newer version replaces a wanted one.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -2,6 +2,7 @@
 
 import random
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -179,7 +180,22 @@
 )
 
 
+# A daemon that is behind offers its version to one that has restarted. Random
+# steps seldom come to it.
+_OLDER_AFTER_RESTART = [
+    ("publish", 1, False),
+    ("read_store", 0),
+    ("publish", 2, False),
+    ("read_store", 1),
+    ("restart", 1),
+    ("hint", 0, 1),
+    ("pull", 1),
+    ("deliver", 0, 0, False),
+]
+
+
 @settings(max_examples=200, deadline=None)
+@example(_OLDER_AFTER_RESTART, 1)
 @given(strategies.lists(_step, max_size=40), strategies.integers(0, 99))
 def test_histories_keep_the_invariants_and_converge(steps, seed):
     """Guards P1 to P3 under crossed, lost, damaged and repeated messages.
@@ -215,6 +231,16 @@
     assert wanted.next(10.4, rng).address == "a"
 
 
+def test_newer_version_replaces_a_wanted_one():
+    """Guards against a proxy that keeps asking for a version that is past."""
+    wanted = pulls.Wanted()
+    rng = random.Random(1)
+    wanted.offer(2, "two", "a")
+    assert wanted.offer(3, "three", "b")
+    assert not wanted.offer(2, "two", "c")
+    assert wanted.next(0.0, rng) == pulls.Pull(3, "three", "b", False)
+
+
 def test_failures_back_off_with_jitter_and_a_limit():
     """Guards against a storm of retries after a long outage."""
     rng = random.Random(1)
