Test the incarnation at the daemon itself and the drain of mesh calls

Without the comparison of the incarnation in Keyed.run_here, the mesh test passed, as other daemons know the new incarnation from the member table. Without the refusal in Drain.run, it passed, as the drained queue of the upstream refuses too. Ruled out: removing either barrier as redundant; the member table may be late, and a daemon without a queue must refuse as well. Change: the repeat after a restart also goes to the restarted daemon itself; a test runs Drain without a queue. Conclusion: both barriers are now proved on their own.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,10 @@
 import httpx
 import pytest
 
+from rattangauge.calls import exchange
+from rattangauge.generated import messages
+from rattangauge.net import drain
+from tests import peers
 from tests import test_once
 from tools import fleet as fleet_module
 
@@ -105,6 +109,22 @@
         assert await wait_exit(fleet, "c") == 0, fleet.log_text("c")
 
 
+async def test_drain_refuses_calls_from_the_mesh():
+    """Guards against a shutdown that relies on the upstream's queue alone."""
+    begun = []
+
+    async def run(request, _respond):
+        begun.append(request)
+
+    daemon = drain.Drain(run, 1.0)
+    await daemon.run(peers.request(), None)
+    daemon.begin()
+    with pytest.raises(exchange.CallFailed) as caught:
+        await daemon.run(peers.request(), None)
+    assert caught.value.outcome == messages.Outcome.NOT_RUN
+    assert len(begun) == 1
+
+
 async def test_upstream_that_drains_gets_no_new_work():
     """Guards against work for an upstream that announced its end."""
     async with test_once.mesh() as (fleet, client):
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -135,8 +135,11 @@
                 await fleet.wait_serving("objednavky", 1)
             repeat = await order(fleet, client, "b", key, "?work_ms=900")
             assert repeat.status_code != 200
-        assert repeat.json()["code"] == "key.gone"
-        assert repeat.json()["outcome"] == "unknown"
+        # Others know the new incarnation; the daemon itself must know it too.
+        itself = await order(fleet, client, "c", key, "?work_ms=900")
+        for answer in (repeat, itself):
+            assert answer.json()["code"] == "key.gone"
+            assert answer.json()["outcome"] == "unknown"
         assert await runs(fleet, key) == 1
 
 
