Name only the subjects that daemons record

Cause: the help of `explain` offered "call 1f0c", and the doc comment of Event "zone zone-1"; no decision is recorded about either. Change: the help names versions, instances and upstreams. Conclusion: an operator is not sent to an empty answer.

--- a/rattangauge/cmdline.py
+++ b/rattangauge/cmdline.py
@@ -218,7 +218,7 @@
     """Prints what a daemon decided about a subject, and why.
 
     Args:
-        subject: Such as "version 7", "instance a" or "call 1f0c".
+        subject: Such as "version 7", "instance a" or "upstream a".
         daemon: IP:PORT of the daemon's operators' port.
         timeout_s: Time to wait for the answer, in seconds.
         json: Print one JSON document.
--- a/rattangauge/events.py
+++ b/rattangauge/events.py
@@ -15,8 +15,8 @@
 
     Attributes:
         time_ms: When, in milliseconds since 1970.
-        subject: What it was about: ``version 7``, ``instance a``,
-            ``upstream a``, ``call 1f0c`` or ``zone zone-1``.
+        subject: What it was about: ``version 7``, ``instance a`` or
+            ``upstream a``.
         action: What the daemon did.
         reason: Why.
         code: Error code, or empty.
