--- a/rattangauge/commands/status.py
+++ b/rattangauge/commands/status.py
@@ -8,17 +8,45 @@
 from rattangauge.commands import daemon
 from rattangauge.commands import output
 from rattangauge.commands import store as store_module
+from rattangauge.config import objects as objects_module
 from rattangauge.config import progress
+from rattangauge.config import zones
 from rattangauge.generated import errorcodes
+from rattangauge.net import platform
+
+_DAMAGED = (errorcodes.STORE_PROTOCOL, errorcodes.PUBLISH_NOT_KEPT)
+
+
+async def _read_damaged(
+    store: platform.Store, error: errors.CodedError
+) -> archive.Current:
+    """Returns what can be read of a damaged head or edition.
+
+    The zones still tell what they run and what they rejected.
+    """
+    output.complain(error)
+    try:
+        stored_version, head = await archive.read_head(store)
+    except errors.CodedError as again:
+        if again.code not in _DAMAGED:
+            raise
+        stored_version, head = 0, None
+    return archive.Current(stored_version, head, objects_module.empty())
 
 
 async def _from_store(options: store_module.StoreOptions) -> progress.Report:
     async with store_module.open_store(options) as store:
-        current = await archive.read(store, allow_damaged=True)
+        try:
+            current = await archive.read(store)
+        except errors.CodedError as error:
+            if error.code not in _DAMAGED:
+                raise
+            current = await _read_damaged(store, error)
         statuses = await archive.statuses(store, current.objects)
-    return progress.report(
-        current.version, current.head, statuses, util.now_ms()
-    )
+    newest = current.version
+    if current.head is None:
+        newest = zones.highest(statuses)
+    return progress.report(newest, current.head, statuses, util.now_ms())
 
 
 async def _from_daemon(address: str, timeout_s: float) -> progress.Report:
@@ -29,10 +57,11 @@
         raise errors.CodedError(errorcodes.OPERATORS_REFUSED, text, address)
     statuses = progress.from_members(members)
     own = table.get("version")
-    # A daemon knows the head only by the versions that the members report.
+    # A daemon knows the head only by what the members run or rejected.
     newest = max(
         [own if isinstance(own, int) else 0]
         + [status.highest_version for status in statuses]
+        + [progress.highest_rejected(status.proxies) for status in statuses]
     )
     return progress.report(newest, None, statuses, util.now_ms())
 
@@ -45,18 +74,30 @@
 
 def _print(report: progress.Report) -> None:
     print(f"newest version: {report.version}\n")
+    if not report.zones:
+        print("no zone has written its status yet")
+        return
     rows: list[list[Any]] = [
         [
             zone.zone,
             "-" if zone.lowest_version is None else zone.lowest_version,
             output.format_age(zone.age_ms),
             output.format_age(zone.status_age_ms),
+            zone.gone,
             _mark(zone.behind, zone.reporting),
             zone.reason,
         ]
         for zone in report.zones
     ]
-    columns = ["zone", "version", "age", "status age", "state", "reason"]
+    columns = [
+        "zone",
+        "version",
+        "age",
+        "status age",
+        "gone",
+        "state",
+        "reason",
+    ]
     output.print_table(columns, rows)
     rows = [
         [
@@ -64,13 +105,19 @@
             proxy.instance,
             proxy.version,
             output.format_age(proxy.age_ms),
+            output.format_age(proxy.seen_ms),
+            proxy.member,
+            proxy.upstream,
             _mark(proxy.behind),
             proxy.reason,
         ]
         for proxy in report.proxies
     ]
     print()
-    columns = ["zone", "proxy", "version", "age", "state", "reason"]
+    columns = [
+        *("zone", "proxy", "version", "age", "seen", "member", "upstream"),
+        *("state", "reason"),
+    ]
     output.print_table(columns, rows)
 
 
--- a/rattangauge/config/zones.py
+++ b/rattangauge/config/zones.py
@@ -32,7 +32,8 @@
         highest_version: Highest version in force; the lowest one if the
             status does not name it.
         written_ms: When it was written, in milliseconds since 1970, or 0.
-        members: One table for each proxy, as on a daemon's ``/status``.
+        proxies: One table for each proxy, with at least ``instance``,
+            ``version`` and ``state``.
         heard: What the zone has heard of other zones.
     """
 
@@ -40,7 +41,7 @@
     lowest_version: int | None = None
     highest_version: int = 0
     written_ms: int = 0
-    members: tuple[dict[str, Any], ...] = ()
+    proxies: tuple[dict[str, Any], ...] = ()
     heard: tuple[Heard, ...] = ()
 
     @property
@@ -51,7 +52,7 @@
                 _number(member.get("rejected_version")) or 0,
                 str(member.get("rejected_code") or "no code"),
             )
-            for member in self.members
+            for member in self.proxies
         )
         return max(found, default=(0, ""))
 
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -180,5 +180,5 @@
     table = members_module.MemberTable(own)
     written = status_module.build(table, status_module.Progress(), True, 1, 7)
     read = zones.parse(own.zone, json.dumps(written).encode())
-    assert [row["instance"] for row in read.members] == ["a"]
+    assert [row["instance"] for row in read.proxies] == ["a"]
     assert (read.lowest_version, read.written_ms) == (2, 7)
