Check that the tests of the invariants fail without their mechanisms

Cause: nothing showed that the tests of P1 to P9 and F1 to F9 depend on the mechanisms that they are meant for. Ruled out: a library for mutation testing; it changes operators everywhere and would run the tests of the mesh thousands of times.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=. $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: install test demo generate format bench bench-quick chaos
+.PHONY: install test demo generate format bench bench-quick chaos mutations
 
 install: $(VENV)/installed
 
@@ -39,3 +39,6 @@
 
 bench-quick: install
 	$(RUN) benchmarks/run.py --seed $(SEED) --quick
+
+mutations: install
+	$(RUN) tools/mutations.py
