Read the rest of an upload once its upstream takes it

The caller's daemon began to read the body of a long upload as soon as the head was sent. A refusal at admission then found the body consumed, and the call could not be sent to another upstream. The receiver of a call now grants a credit of 0 bytes when the body is first read, which is after admission, and the sender reads the body after the first credit. This adds one round trip on the mesh to calls whose body exceeds the first message.

While a call with a long body waits for admission, its caller's disconnect is seen only when the body is read, or at the deadline.

--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -99,6 +99,15 @@
             view = view[BODY_CHUNK_BYTES:]
         await self._send_chunk(make, bytes(view), last)
 
+    async def wait_wanted(self) -> None:
+        """Waits until the receiver grants its first credit, which may be 0.
+
+        Raises:
+            errors.CodedError: The connection has ended.
+        """
+        await self._credit_added.wait()
+        self._connection.check_open()
+
     async def _send_chunk(
         self, make: Callable[..., messages.Message], chunk: bytes, last: bool
     ) -> None:
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -120,6 +120,8 @@
 async def _send_body(
     stream: links_module.Stream, body: AsyncIterator[bytes]
 ) -> None:
+    # A call that is refused before can still be sent elsewhere.
+    await stream.wait_wanted()
     async for piece in exchange.sent_body(body):
         await stream.send_data(messages.CallData, piece, False)
     await stream.send_data(messages.CallData, b"", True)
@@ -193,11 +195,12 @@
         )
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yields the pieces of the body.
+        """Asks for the body and yields its pieces.
 
         Raises:
             exchange.CallFailed: The body ended before its last piece.
         """
+        await self._stream.send(messages.Credit(bytes=0))
         async for piece in self._receiver:
             yield piece
         if not self._whole:
