--- a/tests/test_zone_status.py
+++ b/tests/test_zone_status.py
@@ -22,5 +22,7 @@
     assert {p.member for p in made.proxies} == {"alive"}
     assert {p.upstream for p in made.proxies} == {"serving"}
     assert "rejected version 3" in made.proxies[1].reason
-    assert made.zones[0].reason == "1 of 2 proxies are behind"
+    assert made.zones[0].reason == (
+        "1 of 2 proxies are behind; version 3 was rejected [no code]"
+    )
     assert made.zones[0].status_age_ms == 1000
