Find the first error of a group in one place

Cause: ingress, forward and hedging had the same loop under two names. Change: errors.first_error replaces the three copies; behaviour is unchanged.

--- a/rattangauge/errors.py
+++ b/rattangauge/errors.py
@@ -61,3 +61,11 @@
     def __str__(self) -> str:
         """Formats all findings, one a line."""
         return "\n".join(str(finding) for finding in self.findings)
+
+
+def first_error(group: BaseExceptionGroup) -> BaseException:
+    """Returns the first error of a group that is no group itself."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -107,14 +107,7 @@
             await _receive_answer(stream, request, respond)
             tasks.cancel_scope.cancel()
     except BaseExceptionGroup as group:
-        raise _first(group) from group
-
-
-def _first(group: BaseExceptionGroup) -> BaseException:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
+        raise errors.first_error(group) from group
 
 
 async def _send_body(
--- a/rattangauge/net/hedging.py
+++ b/rattangauge/net/hedging.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from rattangauge import errors
 from rattangauge.calls import exchange
 from rattangauge.calls import hedge
 
@@ -99,12 +100,5 @@
             if race.is_over:
                 tasks.cancel_scope.cancel()
     except BaseExceptionGroup as group:
-        raise _first_error(group) from group
+        raise errors.first_error(group) from group
     race.settle()
-
-
-def _first_error(group: BaseExceptionGroup) -> BaseException:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -335,13 +335,6 @@
             tasks.cancel_scope.cancel()
 
 
-def _first_error(group: BaseExceptionGroup) -> BaseException:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
-
-
 async def _answer_key_request(
     router: router_module.Router, issue: Issue, call: _Call
 ) -> None:
@@ -392,7 +385,7 @@
             await _run(router, call, request, target)
             outcome = "answered"
         except* exchange.CallFailed as group:
-            failure = _first_error(group)
+            failure = errors.first_error(group)
             outcome = failure.code
             if call.answered:
                 # The caller must see that the answer is not whole.
