--- /dev/null
+++ b/rattangauge/calls/placement.py
@@ -0,0 +1,84 @@
+"""Chooses the instance that takes a call, from the load that each reports.
+
+Answers the load of a swing over unequal upstreams: a call goes where it is
+expected to end first. The own zone is preferred while the wait that another
+zone saves is not worth the bytes between them.
+"""
+
+from collections.abc import Sequence
+import random as random_module
+from typing import NamedTuple
+
+# Cost of a call to another zone: the way there and back, and its bytes.
+ZONE_COST_S = 0.002
+ZONE_COST_S_PER_BYTE = 1.5e-6
+
+# Latency to assume of an instance without a measurement, in seconds.
+DEFAULT_HOLD_S = 0.05
+
+# A busy upstream is a little slower than an idle one, which also spreads calls.
+BUSY_SHARE = 0.15
+JITTER_SHARE = 0.05
+
+
+class Candidate(NamedTuple):
+    """An instance that could take a call.
+
+    Attributes:
+        address: Mesh address of the instance.
+        is_local: Whether it is in the zone of the caller.
+        is_ill: Whether calls to it have just failed.
+        busy: Calls that run or wait there.
+        slots: Calls that it can run at a time.
+        hold_s: Time that a call holds a slot there, in seconds; 0 if unknown.
+    """
+
+    address: str
+    is_local: bool
+    is_ill: bool
+    busy: int
+    slots: int
+    hold_s: float
+
+
+def wait_s(candidate: Candidate) -> float:
+    """Returns the time until a call would get a slot, in seconds."""
+    hold_s = candidate.hold_s or DEFAULT_HOLD_S
+    ahead = candidate.busy + 1 - candidate.slots
+    return max(0, ahead) * hold_s / max(1, candidate.slots)
+
+
+def cost_s(candidate: Candidate, call_bytes: int) -> float:
+    """Returns the expected time of a call, and the price of its way."""
+    hold_s = candidate.hold_s or DEFAULT_HOLD_S
+    fill = min(1.0, candidate.busy / max(1, candidate.slots))
+    cost = wait_s(candidate) + hold_s * (1.0 + BUSY_SHARE * fill)
+    if not candidate.is_local:
+        cost += ZONE_COST_S + ZONE_COST_S_PER_BYTE * call_bytes
+    return cost
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    call_bytes: int,
+    random: random_module.Random,
+) -> Candidate | None:
+    """Returns the instance that takes a call; None if there is none.
+
+    If all look ill, all are used: the reports may be wrong.
+
+    Args:
+        candidates: Instances that may take the call.
+        call_bytes: Size of the request and of the expected answer.
+        random: Source of random numbers.
+    """
+    healthy = [c for c in candidates if not c.is_ill]
+    usable = healthy or candidates
+    if not usable:
+        return None
+
+    def cost(candidate: Candidate) -> float:
+        jitter = 1.0 + JITTER_SHARE * random.random()
+        return cost_s(candidate, call_bytes) * jitter
+
+    return min(usable, key=cost)
--- a/rattangauge/calls/retry.py
+++ b/rattangauge/calls/retry.py
@@ -29,9 +29,18 @@
 class Budget:
     """Retries of one daemon, in proportion to its calls."""
 
-    def __init__(self) -> None:
-        """Creates a full budget."""
-        self._tokens = BUDGET_MAX
+    def __init__(
+        self, share: float = BUDGET_SHARE, burst: float = BUDGET_MAX
+    ) -> None:
+        """Creates a full budget.
+
+        Args:
+            share: Retries for each call.
+            burst: Retries that may come at once.
+        """
+        self._share = share
+        self._burst = burst
+        self._tokens = burst
 
     @property
     def tokens(self) -> float:
@@ -40,7 +49,7 @@
 
     def add_call(self) -> None:
         """Counts a call of a caller."""
-        self._tokens = min(BUDGET_MAX, self._tokens + BUDGET_SHARE)
+        self._tokens = min(self._burst, self._tokens + self._share)
 
     def take(self) -> bool:
         """Takes a retry from the budget; returns whether there was one."""
--- /dev/null
+++ b/rattangauge/calls/waiting.py
@@ -0,0 +1,207 @@
+"""Decides which calls of one upstream run, wait or are turned away.
+
+Answers the load of a peak: more calls arrive for seconds than the slots can
+take. Calls wait in the order of their priority, those that came back after a
+refusal first, and only as long as they can still be of use. All others are
+refused at once, while their callers have time left to come back.
+"""
+
+import bisect
+from collections.abc import Iterable
+import itertools
+from typing import NamedTuple
+
+# Hold time of a slot that is assumed before any is known, in seconds.
+DEFAULT_HOLD_S = 0.05
+HOLD_WEIGHT = 0.1
+
+# A call is refused if it would end later than this before its time is up.
+MARGIN_S = 0.005
+
+
+class Waiter(NamedTuple):
+    """A call that wants a slot.
+
+    Attributes:
+        number: Identity of the call.
+        kind: Calls of one kind hold a slot about equally long.
+        priority: 0 to 9; 9 is served first.
+        returned: Whether the caller was refused before and came back.
+        target_at: Time until which an answer is of full use; 0 if unknown.
+        deadline: Time by which the call must be answered.
+    """
+
+    number: int
+    kind: str
+    priority: int
+    returned: bool
+    target_at: float
+    deadline: float
+
+
+class Outcome(NamedTuple):
+    """Calls that got a slot, and calls that were refused."""
+
+    started: tuple[Waiter, ...] = ()
+    refused: tuple[Waiter, ...] = ()
+
+
+class _Entry(NamedTuple):
+    """A waiting call in the order of service."""
+
+    rank: tuple[int, bool]
+    number: int
+    waiter: Waiter
+
+
+def _rank(waiter: Waiter) -> tuple[int, bool]:
+    return -waiter.priority, not waiter.returned
+
+
+class Queue:
+    """Slots of one upstream, and the calls that wait for them."""
+
+    def __init__(self, slots: int, bound: int) -> None:
+        """Creates an empty queue.
+
+        Args:
+            slots: Calls that may run at a time.
+            bound: Calls that may wait.
+        """
+        self._slots = slots
+        self._bound = bound
+        self._running: dict[int, Waiter] = {}
+        self._waiting: list[_Entry] = []
+        self._hold_s: dict[str, float] = {}
+        self._mean_hold_s = 0.0
+        self._arrivals = itertools.count()
+        self._is_closed = False
+
+    @property
+    def slots(self) -> int:
+        """Calls that may run at a time."""
+        return self._slots
+
+    @property
+    def running(self) -> int:
+        """Calls that hold a slot."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._waiting)
+
+    @property
+    def mean_hold_s(self) -> float:
+        """Mean time that a call holds a slot, in seconds; 0 if unknown."""
+        return self._mean_hold_s
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether all new calls are refused."""
+        return self._is_closed
+
+    def hold_s(self, kind: str) -> float:
+        """Returns the time that a call of a kind holds a slot, in seconds."""
+        return self._hold_s.get(kind) or self._mean_hold_s or DEFAULT_HOLD_S
+
+    def wait_s(self) -> float:
+        """Returns the wait of a call that would be served last, in seconds."""
+        return self._wait_behind(self._waiting)
+
+    def offer(self, waiter: Waiter, now: float) -> Outcome:
+        """Takes a call: it is started, queued or refused."""
+        if self._is_closed:
+            return Outcome(refused=(waiter,))
+        if not self._waiting and self.running < self._slots:
+            return Outcome(started=(self._start(waiter),))
+        entry = _Entry(_rank(waiter), next(self._arrivals), waiter)
+        place = bisect.bisect_right(self._waiting, entry)
+        self._waiting.insert(place, entry)
+        return Outcome(refused=self._refuse_hopeless(place, now))
+
+    def finish(self, waiter: Waiter, seconds: float, now: float) -> Outcome:
+        """Frees the slot of a call and starts those that wait.
+
+        Args:
+            waiter: A call that was started.
+            seconds: Time that it held the slot; 0 if it says nothing.
+            now: Time.
+        """
+        if self._running.pop(waiter.number, None) is None:
+            return Outcome()
+        if seconds > 0.0:
+            self._observe(waiter.kind, seconds)
+        return self.advance(now)
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Removes a call from the queue, if it waits there."""
+        self._waiting = [e for e in self._waiting if e.waiter != waiter]
+
+    def advance(self, now: float) -> Outcome:
+        """Starts waiting calls while there are slots."""
+        started = []
+        refused = list(self._refuse_hopeless(0, now))
+        while self._waiting and self.running < self._slots:
+            started.append(self._start(self._waiting.pop(0).waiter))
+        return Outcome(tuple(started), tuple(refused))
+
+    def set_slots(self, slots: int) -> None:
+        """Takes a new number of slots."""
+        self._slots = slots
+
+    def close(self) -> Outcome:
+        """Refuses all calls that wait and all that come from now on."""
+        self._is_closed = True
+        refused = tuple(entry.waiter for entry in self._waiting)
+        self._waiting.clear()
+        return Outcome(refused=refused)
+
+    def _start(self, waiter: Waiter) -> Waiter:
+        self._running[waiter.number] = waiter
+        return waiter
+
+    def _observe(self, kind: str, seconds: float) -> None:
+        before_s = self._hold_s.get(kind, seconds)
+        self._hold_s[kind] = before_s + HOLD_WEIGHT * (seconds - before_s)
+        mean_s = self._mean_hold_s or seconds
+        self._mean_hold_s = mean_s + HOLD_WEIGHT * (seconds - mean_s)
+
+    def _wait_behind(self, ahead: Iterable[_Entry]) -> float:
+        """Returns the wait of a call behind others, in seconds."""
+        if self.running < self._slots:
+            return 0.0
+        work_s = sum(self.hold_s(entry.waiter.kind) for entry in ahead)
+        return (work_s + self.hold_s("")) / max(1, self._slots)
+
+    def _is_hopeless(self, waiter: Waiter, wait_s: float, now: float) -> bool:
+        """Tells whether a call should not go on waiting.
+
+        A caller that may still come back is refused as soon as it would miss
+        the target latency; one that came back waits up to its deadline.
+        """
+        ends_at = now + wait_s + self.hold_s(waiter.kind) + MARGIN_S
+        if ends_at > waiter.deadline:
+            return True
+        earliest = now + self.hold_s(waiter.kind)
+        may_return = not waiter.returned and earliest < waiter.target_at
+        return may_return and ends_at > waiter.target_at
+
+    def _refuse_hopeless(self, place: int, now: float) -> tuple[Waiter, ...]:
+        """Removes the calls from a place on that wait without hope."""
+        refused = []
+        kept = self._waiting[:place]
+        work_s = sum(self.hold_s(e.waiter.kind) for e in kept)
+        slots = max(1, self._slots)
+        for entry in self._waiting[place:]:
+            free = self.running + len(kept) < self._slots
+            wait_s = 0.0 if free else (work_s + self.hold_s("")) / slots
+            too_many = len(kept) >= self._bound
+            if too_many or self._is_hopeless(entry.waiter, wait_s, now):
+                refused.append(entry.waiter)
+                continue
+            kept.append(entry)
+            work_s += self.hold_s(entry.waiter.kind)
+        self._waiting = kept
+        return tuple(refused)
--- a/rattangauge/config/check.py
+++ b/rattangauge/config/check.py
@@ -49,15 +49,17 @@
 def _check_routes(
     objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
 ) -> Iterator[errors.Finding]:
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[tuple[str, str, str], str] = {}
     for name, route in sorted(objects["route"].items()):
         place = _place(places, "route", name)
         if not route.prefix.startswith("/"):
             message = f"{route.prefix!r} does not start with '/'"
             code = errorcodes.OBJECT_RANGE
             yield errors.Finding(place, "prefix", message, code)
+        yield from _check_split(route, place)
         for method in route.methods or ("",):
-            other = seen.setdefault((route.prefix, method), name)
+            key = route.host, route.prefix, method
+            other = seen.setdefault(key, name)
             if other != name:
                 message = f"route {other!r} matches the same requests"
                 code = errorcodes.OBJECT_AMBIGUOUS
@@ -65,6 +67,20 @@
                 break
 
 
+def _check_split(
+    route: generated.Route, place: str
+) -> Iterator[errors.Finding]:
+    """Checks that each service of a split has a weight."""
+    code = errorcodes.OBJECT_RANGE
+    if len(route.weights) != len(route.split):
+        message = (
+            f"{len(route.weights)} weights for {len(route.split)} services"
+        )
+        yield errors.Finding(place, "weights", message, code)
+    elif route.split and not sum(route.weights):
+        yield errors.Finding(place, "weights", "all weights are 0", code)
+
+
 def _check_sizes(
     objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
 ) -> Iterator[errors.Finding]:
--- a/rattangauge/config/routes.py
+++ b/rattangauge/config/routes.py
@@ -9,6 +9,15 @@
     ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE")
 )
 DEFAULT_POLICY = generated.Policy(name="default")
+LIMITS_NAME = "callers"
+DEFAULT_LIMITS = generated.Limits(name=LIMITS_NAME)
+
+
+class Share(NamedTuple):
+    """A service's part of the calls of a route."""
+
+    service: str
+    weight: int
 
 
 class Target(NamedTuple):
@@ -19,20 +28,30 @@
         service: The service that answers.
         pools: Its pools, the preferred one first.
         policy: The policy that applies.
+        shares: Services that share the calls by weight; empty if one takes all.
     """
 
     route: generated.Route
     service: generated.Service
     pools: tuple[generated.Pool, ...]
     policy: generated.Policy
+    shares: tuple[Share, ...] = ()
 
 
 class RouteTable(NamedTuple):
-    """Routes by prefix, the longest prefix first."""
+    """Routes by host and prefix, the longest prefix first.
+
+    Attributes:
+        version: Version of the edition.
+        by_prefix: Targets by host and prefix; the host is empty where any fits.
+        lengths: Lengths of the prefixes, descending.
+        limits: Limits on what callers may send.
+    """
 
     version: int
-    by_prefix: dict[str, tuple[Target, ...]]
+    by_prefix: dict[tuple[str, str], tuple[Target, ...]]
     lengths: tuple[int, ...]
+    limits: generated.Limits = DEFAULT_LIMITS
 
 
 def _target(edition: edition_module.Edition, route: generated.Route) -> Target:
@@ -41,22 +60,29 @@
     pools = tuple(objects["pool"][name] for name in service.pools)
     policy_name = route.policy or service.policy
     policy = objects["policy"].get(policy_name, DEFAULT_POLICY)
-    return Target(route, service, pools, policy)
+    shares = tuple(
+        Share(name, weight)
+        for name, weight in zip(route.split, route.weights, strict=True)
+    )
+    return Target(route, service, pools, policy, shares)
 
 
 def compile_routes(edition: edition_module.Edition) -> RouteTable:
     """Compiles the routes of an edition."""
-    by_prefix: dict[str, tuple[Target, ...]] = {}
+    by_prefix: dict[tuple[str, str], tuple[Target, ...]] = {}
     for route in edition.objects["route"].values():
-        targets = by_prefix.get(route.prefix, ())
+        key = route.host, route.prefix
+        targets = by_prefix.get(key, ())
         target = _target(edition, route)
         # Routes that name their methods go before those that take all.
         if route.methods:
-            by_prefix[route.prefix] = (target, *targets)
+            by_prefix[key] = (target, *targets)
         else:
-            by_prefix[route.prefix] = (*targets, target)
-    lengths = tuple(sorted({len(prefix) for prefix in by_prefix}, reverse=True))
-    return RouteTable(edition.version, by_prefix, lengths)
+            by_prefix[key] = (*targets, target)
+    found = {len(prefix) for _host, prefix in by_prefix}
+    lengths = tuple(sorted(found, reverse=True))
+    limits = edition.objects["limits"].get(LIMITS_NAME, DEFAULT_LIMITS)
+    return RouteTable(edition.version, by_prefix, lengths, limits)
 
 
 def _is_whole_segment(path: str, length: int) -> bool:
@@ -65,17 +91,27 @@
     return path[length] in "/?"
 
 
-def match(table: RouteTable, method: str, path: str) -> Target | None:
+def match(
+    table: RouteTable, method: str, path: str, host: str = ""
+) -> Target | None:
     """Returns the target of the longest matching prefix, if any.
 
-    A prefix matches whole segments of the path only.
+    A prefix matches whole segments of the path only. The routes of the host go
+    before those of any host.
+
+    Args:
+        table: The routes.
+        method: Method of the request.
+        path: Path of the request.
+        host: Host of the request in lower case, without a port.
     """
-    for length in table.lengths:
-        if len(path) < length or not _is_whole_segment(path, length):
-            continue
-        for target in table.by_prefix.get(path[:length], ()):
-            if not target.route.methods or method in target.route.methods:
-                return target
+    for wanted in (host, "") if host else ("",):
+        for length in table.lengths:
+            if len(path) < length or not _is_whole_segment(path, length):
+                continue
+            for target in table.by_prefix.get((wanted, path[:length]), ()):
+                if not target.route.methods or method in target.route.methods:
+                    return target
     return None
 
 
--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -88,6 +88,11 @@
         if wrong:
             return f"{show(wrong[0])} is not one of {', '.join(spec.choices)}"
         return ""
+    if spec.kind == "list[int]":
+        faults = (
+            _range_fault(spec._replace(kind="int"), item) for item in value
+        )
+        return next((fault for fault in faults if fault), "")
     size = len(value) if isinstance(value, list) else value
     # The comparisons are negated because NaN must fail them.
     if spec.min is not None and not size >= spec.min:
--- /dev/null
+++ b/rattangauge/http/client.py
@@ -0,0 +1,245 @@
+"""HTTP/1.1 client for whole requests to one upstream.
+
+httpcore does not fit here: an answer that belongs to another request must be
+skipped, an idle connection must be checked before a call that may run once is
+sent on it, and a response without a length that ends in a reset is not whole.
+"""
+
+import select
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import h11
+
+from rattangauge import util
+from rattangauge.http import messages
+
+RECEIVE_BYTES = 65_536
+CONNECT_TIMEOUT_S = 1.0
+# Idle connections are closed this long before the upstream would do it.
+IDLE_MARGIN_S = 1.0
+DEFAULT_IDLE_S = 4.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Responses to other requests that are skipped before a connection is given up.
+MAX_SKIPPED = 8
+# Bodies above this size are sent while the response is awaited.
+LARGE_BODY_BYTES = 32_768
+
+
+class NotSent(Exception):
+    """No byte of the request was sent."""
+
+
+class Broken(Exception):
+    """The request was sent and there is no whole response."""
+
+
+class _Idle(NamedTuple):
+    """A connection that waits for its next request."""
+
+    stream: anyio.abc.SocketStream
+    until: float
+
+
+def _has_input(stream: anyio.abc.SocketStream) -> bool:
+    """Tells whether an idle connection has bytes or has ended."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _keep_alive_s(response: messages.Response) -> float:
+    """Returns the time for which the upstream keeps the connection."""
+    for part in response.header(b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(value)
+    return DEFAULT_IDLE_S
+
+
+class Client:
+    """Connections to one upstream."""
+
+    def __init__(self, address: util.Address, identity: bytes) -> None:
+        """Creates a client; connections are opened when needed.
+
+        Args:
+            address: Address of the upstream.
+            identity: Header that names the request in both directions.
+        """
+        self._address = address
+        self._identity = identity
+        self._idle: list[_Idle] = []
+
+    @property
+    def address(self) -> util.Address:
+        """Address of the upstream."""
+        return self._address
+
+    async def aclose(self) -> None:
+        """Closes the idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await anyio.aclose_forcefully(connection.stream)
+
+    async def exchange(self, request: messages.Request) -> messages.Response:
+        """Sends a request and returns its response.
+
+        Raises:
+            NotSent: The upstream cannot be reached.
+            Broken: There is no whole response.
+        """
+        stream = await self._connect()
+        is_reusable = False
+        try:
+            response, is_reusable = await self._exchange(stream, request)
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+            h11.RemoteProtocolError,
+        ) as error:
+            raise Broken(repr(error)) from error
+        finally:
+            if not is_reusable:
+                await anyio.aclose_forcefully(stream)
+        idle_s = _keep_alive_s(response) - IDLE_MARGIN_S
+        if idle_s > 0.0:
+            until = anyio.current_time() + idle_s
+            self._idle.append(_Idle(stream, until))
+        else:
+            await anyio.aclose_forcefully(stream)
+        return response
+
+    async def _connect(self) -> anyio.abc.SocketStream:
+        now = anyio.current_time()
+        while self._idle:
+            idle = self._idle.pop()
+            if now < idle.until and not _has_input(idle.stream):
+                return idle.stream
+            await anyio.aclose_forcefully(idle.stream)
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                return await anyio.connect_tcp(
+                    self._address.host, self._address.port
+                )
+        except (OSError, TimeoutError, AttributeError) as error:
+            # uvloop raises AttributeError for a connection that is reset while
+            # it is set up.
+            raise NotSent(repr(error)) from error
+
+    async def _exchange(
+        self, stream: anyio.abc.SocketStream, request: messages.Request
+    ) -> tuple[messages.Response, bool]:
+        parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_BYTES)
+        data = _encode(parser, request)
+        if len(request.body) <= LARGE_BODY_BYTES:
+            await stream.send(data)
+            return await self._receive(stream, parser, request)
+        is_sent = False
+
+        async def send() -> None:
+            nonlocal is_sent
+            try:
+                await stream.send(data)
+                is_sent = True
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                return  # the response, or its absence, tells what follows
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            response, is_reusable = await _unwrapped(
+                self._receive(stream, parser, request)
+            )
+            tasks.cancel_scope.cancel()
+        if response is None:
+            raise Broken("the upstream ended the connection inside the request")
+        return response, is_reusable and is_sent
+
+    async def _receive(
+        self,
+        stream: anyio.abc.SocketStream,
+        parser: h11.Connection,
+        request: messages.Request,
+    ) -> tuple[messages.Response, bool]:
+        """Receives the response of a request; skips those of others."""
+        wanted = request.header(self._identity)
+        for _ in range(MAX_SKIPPED):
+            response = await _read_response(stream, parser)
+            identity = response.header(self._identity)
+            trailing = parser.trailing_data[0]
+            if not wanted or not identity or identity == wanted:
+                is_open = parser.their_state is h11.DONE
+                return response, is_open and not trailing
+            if parser.their_state is not h11.DONE:
+                break
+            parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_BYTES)
+            _encode(parser, request)
+            parser.receive_data(trailing)
+        raise Broken("the response belongs to another request")
+
+
+async def _unwrapped(
+    receiving: object,
+) -> tuple[messages.Response | None, bool]:
+    """Awaits a response; returns None in place of a broken connection."""
+    try:
+        return await receiving  # type: ignore[misc]
+    except (
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        anyio.EndOfStream,
+        h11.RemoteProtocolError,
+        Broken,
+    ):
+        return None, False
+
+
+def _encode(parser: h11.Connection, request: messages.Request) -> bytes:
+    head = h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=list(request.headers),
+    )
+    data = parser.send(head) or b""
+    if request.body:
+        data += parser.send(h11.Data(data=request.body)) or b""
+    return data + (parser.send(h11.EndOfMessage()) or b"")
+
+
+async def _read_response(
+    stream: anyio.abc.SocketStream, parser: h11.Connection
+) -> messages.Response:
+    """Reads one whole response.
+
+    Raises:
+        anyio.EndOfStream: The connection ended before it was whole.
+        anyio.BrokenResourceError: The connection was reset.
+        h11.RemoteProtocolError: The bytes are no response.
+    """
+    head: h11.Response | None = None
+    pieces: list[bytes] = []
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            await _feed(stream, parser)
+        elif isinstance(event, h11.Response):
+            head = event
+        elif isinstance(event, h11.Data):
+            pieces.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            break
+        elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            raise anyio.EndOfStream
+    assert head is not None
+    headers = tuple((bytes(k), bytes(v)) for k, v in head.headers)
+    return messages.Response(head.status_code, headers, b"".join(pieces))
+
+
+async def _feed(stream: anyio.abc.SocketStream, parser: h11.Connection) -> None:
+    try:
+        parser.receive_data(await stream.receive(RECEIVE_BYTES))
+    except anyio.EndOfStream:
+        parser.receive_data(b"")
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -465,5 +465,6 @@
         | messages.JoinRequest
         | messages.VersionHint
         | messages.EditionRequest
-        | messages.ZoneExchange,
+        | messages.ZoneExchange
+        | messages.PeerNews,
     )
--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -14,7 +14,6 @@
 from rattangauge.generated import messages
 from rattangauge.net import connections
 
-CONNECT_TIMEOUT_S = 1.0
 BACKOFF_FIRST_S = 0.05
 BACKOFF_MAX_S = 1.0
 
@@ -71,7 +70,7 @@
         host, port = util.parse_address(address)
         own = util.parse_address(self._settings.listen.mesh)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            with anyio.fail_after(self._settings.mesh.connect_timeout_s):
                 byte_stream = await anyio.connect_tcp(
                     host, port, local_host=own.host
                 )
--- /dev/null
+++ b/rattangauge/sidecar/beside.py
@@ -0,0 +1,276 @@
+"""Runs calls on the upstream beside the daemon."""
+
+import itertools
+
+import anyio
+
+from rattangauge import util
+from rattangauge.calls import exchange
+from rattangauge.calls import waiting
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.http import client as client_module
+from rattangauge.http import messages as http_messages
+from rattangauge.membership import heartbeats
+from rattangauge.sidecar import dialect as dialect_module
+
+# Calls that may wait for each slot of the upstream.
+WAITING_PER_SLOT = 4
+
+
+class _Turn:
+    """A waiting call and what was decided about it."""
+
+    def __init__(self) -> None:
+        self.decided = anyio.Event()
+        self.is_refused = False
+
+
+class Beside:
+    """The upstream beside the daemon, with its slots and its queue."""
+
+    def __init__(self, dialect: dialect_module.Dialect) -> None:
+        """Creates the part without an upstream."""
+        self._dialect = dialect
+        self._upstream: heartbeats.Upstream | None = None
+        self._client: client_module.Client | None = None
+        self._queue = waiting.Queue(0, 0)
+        self._turns: dict[int, _Turn] = {}
+        self._numbers = itertools.count(1)
+        self._is_stopping = False
+
+    @property
+    def upstream(self) -> heartbeats.Upstream | None:
+        """What is believed of the upstream; None before its first word."""
+        return self._upstream
+
+    @property
+    def state(self) -> messages.UpstreamState:
+        """State of the upstream for the peers."""
+        if self._upstream is None:
+            return messages.UpstreamState.ABSENT
+        if self._upstream.is_leaving or self._is_stopping:
+            return messages.UpstreamState.DRAINING
+        return messages.UpstreamState.SERVING
+
+    @property
+    def load(self) -> messages.Load:
+        """Load of the upstream for the peers."""
+        return messages.Load(
+            running=self._queue.running,
+            queued=self._queue.queued,
+            limit=self._queue.slots,
+            service_us=int(self._queue.mean_hold_s * 1e6),
+            state=self.state,
+        )
+
+    @property
+    def running(self) -> int:
+        """Calls that run or wait."""
+        return self._queue.running + self._queue.queued
+
+    async def take_heartbeat(self, told: heartbeats.Heartbeat) -> bool:
+        """Takes a heartbeat; returns whether the peers should be told."""
+        before = self._upstream
+        after = heartbeats.after_heartbeat(before, told, anyio.current_time())
+        await self._replace(before, after)
+        return _identity(before) != _identity(after)
+
+    async def take_departure(self, told: heartbeats.Departure) -> bool:
+        """Takes word that the upstream is gone; returns whether it is news."""
+        before = self._upstream
+        after = heartbeats.after_departure(before, told)
+        if after is before or after is None:
+            return False
+        await self._replace(before, after)
+        return True
+
+    async def _replace(
+        self,
+        before: heartbeats.Upstream | None,
+        after: heartbeats.Upstream,
+    ) -> None:
+        self._upstream = after
+        told = after.heartbeat
+        is_new = before is None or _process(before) != _process(after)
+        if is_new:
+            await self._start_over(told)
+        self._queue.set_slots(told.slots)
+        if after.is_leaving and not self._queue.is_closed:
+            self._settle(self._queue.close())
+
+    async def _start_over(self, told: heartbeats.Heartbeat) -> None:
+        """Gives a new process of the upstream its own queue and connections."""
+        if not self._queue.is_closed:
+            self._settle(self._queue.close())
+        bound = WAITING_PER_SLOT * told.slots
+        self._queue = waiting.Queue(told.slots, bound)
+        if self._client is not None:
+            await self._client.aclose()
+        self._client = client_module.Client(
+            told.address, self._dialect.request_id
+        )
+
+    def stop(self) -> None:
+        """Refuses all calls that wait and all that come from now on."""
+        self._is_stopping = True
+        self._settle(self._queue.close())
+
+    async def run(
+        self, request: exchange.Request, respond: exchange.Respond
+    ) -> None:
+        """Runs a call on the upstream.
+
+        Raises:
+            exchange.CallFailed: There is no whole answer.
+        """
+        opened = request.open
+        upstream, client, queue = self._upstream, self._client, self._queue
+        if upstream is None or client is None or upstream.is_leaving:
+            raise self._refusal("the upstream takes no calls")
+        if upstream.heartbeat.service != opened.service:
+            raise self._refusal(f"the upstream does not run {opened.service}")
+        waiter = self._waiter(request)
+        began = 0.0
+        says_time = False
+        try:
+            await self._wait(queue, waiter)
+            began = anyio.current_time()
+            head = await self._exchange(client, upstream, request)
+            says_time = True
+        finally:
+            queue.withdraw(waiter)
+            now = anyio.current_time()
+            held_s = now - began if says_time else 0.0
+            self._settle(queue.finish(waiter, held_s, now))
+        await respond(exchange.Response(head._replace(load=self.load), None))
+
+    def _waiter(self, request: exchange.Request) -> waiting.Waiter:
+        opened = request.open
+        target_s = opened.target_ms / 1000
+        target_at = anyio.current_time() + target_s if target_s else 0.0
+        return waiting.Waiter(
+            next(self._numbers),
+            opened.route,
+            opened.priority,
+            opened.returned,
+            target_at,
+            request.deadline,
+        )
+
+    async def _wait(self, queue: waiting.Queue, waiter: waiting.Waiter) -> None:
+        """Waits for a slot.
+
+        Raises:
+            exchange.CallFailed: The call was refused.
+        """
+        turn = self._turns[waiter.number] = _Turn()
+        try:
+            self._settle(queue.offer(waiter, anyio.current_time()))
+            left_s = waiter.deadline - anyio.current_time()
+            with anyio.move_on_after(left_s):
+                await turn.decided.wait()
+        finally:
+            del self._turns[waiter.number]
+        if turn.is_refused or not turn.decided.is_set():
+            raise self._refusal("the call cannot be served in time")
+
+    def _settle(self, outcome: waiting.Outcome) -> None:
+        """Tells waiting calls what was decided about them."""
+        for waiter in outcome.started:
+            self._turns[waiter.number].decided.set()
+        for waiter in outcome.refused:
+            turn = self._turns[waiter.number]
+            turn.is_refused = True
+            turn.decided.set()
+
+    def _refusal(self, text: str) -> exchange.CallFailed:
+        wait_ms = int(self._queue.wait_s() * 1000)
+        failure = exchange.not_run(errorcodes.CALL_OVERLOADED, text, wait_ms)
+        failure.load = self.load
+        return failure
+
+    async def _exchange(
+        self,
+        client: client_module.Client,
+        upstream: heartbeats.Upstream,
+        request: exchange.Request,
+    ) -> messages.AnswerOpen:
+        sent = self._upstream_request(upstream, request)
+        left_s = request.deadline - anyio.current_time()
+        try:
+            with anyio.fail_after(left_s):
+                response = await client.exchange(sent)
+        except client_module.NotSent as error:
+            failure = self._refusal(str(error))
+            failure.code = errorcodes.CALL_NO_UPSTREAM
+            raise failure from error
+        except client_module.Broken as error:
+            failure = exchange.unknown(
+                str(error), errorcodes.CALL_UPSTREAM_FAILED
+            )
+            failure.load = self.load
+            raise failure from error
+        except TimeoutError as error:
+            text = "the deadline passed while the call ran"
+            raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
+        return self._answer(request, response)
+
+    def _upstream_request(
+        self, upstream: heartbeats.Upstream, request: exchange.Request
+    ) -> http_messages.Request:
+        opened = request.open
+        left_ms = int((request.deadline - anyio.current_time()) * 1000)
+        instance = upstream.heartbeat.instance.encode()
+        headers = [
+            *((header.name, header.value) for header in opened.headers),
+            (self._dialect.deadline_ms, b"%d" % max(1, left_ms)),
+            (self._dialect.expected_instance, instance),
+        ]
+        if opened.body or opened.method not in ("GET", "HEAD"):
+            headers.append((b"content-length", b"%d" % len(opened.body)))
+        return http_messages.Request(
+            opened.method, opened.target, tuple(headers), opened.body
+        )
+
+    def _answer(
+        self, request: exchange.Request, response: http_messages.Response
+    ) -> messages.AnswerOpen:
+        """Turns a response into an answer.
+
+        Raises:
+            exchange.CallFailed: The upstream did not run the call, or the
+                response does not prove that it did.
+        """
+        if response.status == 421 or response.header(self._dialect.not_run):
+            failure = exchange.not_run(
+                errorcodes.CALL_NO_UPSTREAM,
+                f"the upstream refused the call with {response.status}",
+            )
+            failure.load = self.load
+            raise failure
+        is_success = 200 <= response.status < 300
+        if is_success and not response.header(self._dialect.seal):
+            text = "the response of the upstream bears no seal"
+            raise exchange.unknown(text, errorcodes.CALL_UPSTREAM_FAILED)
+        kept = http_messages.end_to_end(response.headers)
+        return messages.AnswerOpen(
+            call_id=request.open.call_id,
+            status=response.status,
+            headers=tuple(messages.Header(*header) for header in kept),
+            body=response.body,
+            last=True,
+        )
+
+
+def _process(upstream: heartbeats.Upstream) -> tuple[str, int, util.Address]:
+    told = upstream.heartbeat
+    return told.instance, told.started_ms, told.address
+
+
+def _identity(upstream: heartbeats.Upstream | None) -> object:
+    """Returns what the peers know of an upstream."""
+    if upstream is None:
+        return None
+    told = upstream.heartbeat
+    return _process(upstream), told.service, told.slots, upstream.is_leaving
--- /dev/null
+++ b/rattangauge/sidecar/dispatch.py
@@ -0,0 +1,338 @@
+"""Takes requests of callers to an instance whose upstream can serve them."""
+
+import itertools
+import random as random_module
+from typing import NamedTuple
+
+import anyio
+
+from rattangauge import settings as settings_module
+from rattangauge.calls import exchange
+from rattangauge.calls import placement
+from rattangauge.calls import retry
+from rattangauge.calls import returns
+from rattangauge.calls import split as split_module
+from rattangauge.config import edition as edition_module
+from rattangauge.config import routes
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.http import messages as http_messages
+from rattangauge.http import server as server_module
+from rattangauge.membership import peers as peers_module
+from rattangauge.net import forward
+from rattangauge.net import links as links_module
+from rattangauge.sidecar import beside as beside_module
+from rattangauge.sidecar import dialect as dialect_module
+
+# Instances that may refuse a call before it is refused to the caller.
+MAX_REFUSALS = 3
+# Retries of one daemon, which all daemons together must keep within a budget.
+RETRY_SHARE = 0.1
+RETRY_BURST = 4.0
+# A retry with less time than this cannot end in time.
+MIN_RETRY_S = 0.02
+# Time after which a caller returns to a daemon without a configuration.
+NOT_READY_S = 0.5
+# Weight of a new measurement of the size of the answers of a route.
+SIZE_WEIGHT = 0.1
+HEAD_BYTES = 300
+# A caller whose time is shorter by this share of the usual has returned.
+RETURNED_SHARE = 0.04
+
+
+class _Call(NamedTuple):
+    """A request with everything that was decided about it at the start."""
+
+    request: exchange.Request
+    target: routes.Target
+    target_at: float
+
+
+class Dispatch:
+    """Routes the requests of callers by the configuration in force."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        dialect: dialect_module.Dialect,
+        links: links_module.Links,
+        peers: peers_module.PeerTable,
+        beside: beside_module.Beside,
+    ) -> None:
+        """Creates the part without a configuration."""
+        self._settings = settings
+        self._dialect = dialect
+        self._links = links
+        self._peers = peers
+        self._beside = beside
+        self._table: routes.RouteTable | None = None
+        self._split = split_module.Split()
+        self._budget = retry.Budget(RETRY_SHARE, RETRY_BURST)
+        self._random = random_module.Random()
+        self._numbers = itertools.count(1)
+        self._answer_bytes: dict[str, float] = {}
+        self._usual_ms: dict[str, int] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return self._table.version if self._table else 0
+
+    @property
+    def limits(self) -> server_module.Limits:
+        """Limits on what callers may send."""
+        if self._table is None:
+            return server_module.Limits()
+        limits = self._table.limits
+        return server_module.Limits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_s=limits.header_timeout_ms / 1000,
+            idle_s=limits.idle_timeout_ms / 1000,
+        )
+
+    def use(self, edition: edition_module.Edition) -> None:
+        """Puts a configuration in force for the requests from now on."""
+        self._table = routes.compile_routes(edition)
+
+    async def handle(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        """Answers a request of a caller."""
+        if self._table is None:
+            return _refusal(503, "no configuration yet", NOT_READY_S)
+        path = request.target.partition("?")[0]
+        host = request.header(b"host").decode("latin-1").lower()
+        host = host.partition(":")[0]
+        target = routes.match(self._table, request.method, path, host)
+        if target is None:
+            return _refusal(404, f"no route matches {host} {path}")
+        call = self._call(request, target)
+        if call is None:
+            return _refusal(400, "the deadline is not a number")
+        return await self._run(call)
+
+    def _call(
+        self, request: http_messages.Request, target: routes.Target
+    ) -> _Call | None:
+        """Turns a request into a call; None if its deadline is not valid."""
+        timeout_ms = target.policy.timeout_ms
+        text = request.header(self._dialect.deadline_ms)
+        if text and not text.isdigit():
+            return None
+        caller_ms = int(text) if text else timeout_ms
+        usual_ms = self._observe_deadline(target.route.name, caller_ms)
+        elapsed_ms = max(0, usual_ms - caller_ms)
+        left_ms = min(caller_ms, timeout_ms)
+        target_ms = target.policy.target_latency_ms - elapsed_ms
+        target_at = request.received_at + target_ms / 1000
+        service = target.service.name
+        if target.shares:
+            service = self._split.choose(target.route.name, target.shares)
+        opened = messages.CallOpen(
+            call_id=f"{next(self._numbers)}",
+            service=service,
+            method=request.method,
+            target=request.target,
+            headers=self._headers(request),
+            priority=target.policy.priority,
+            idempotent=target.route.idempotent == "yes",
+            version=self.version,
+            body=request.body,
+            last=True,
+            route=target.route.name,
+            returned=elapsed_ms > RETURNED_SHARE * usual_ms,
+        )
+        deadline = request.received_at + left_ms / 1000
+        return _Call(
+            exchange.Request(opened, None, deadline), target, target_at
+        )
+
+    def _observe_deadline(self, route: str, caller_ms: int) -> int:
+        """Returns the time that callers of a route have at first, in ms."""
+        usual_ms = max(caller_ms, self._usual_ms.get(route, 0))
+        self._usual_ms[route] = usual_ms
+        return usual_ms
+
+    def _headers(
+        self, request: http_messages.Request
+    ) -> tuple[messages.Header, ...]:
+        """Returns the headers that the upstream receives."""
+        replaced = (
+            self._dialect.caller_service,
+            self._dialect.deadline_ms,
+            self._dialect.expected_instance,
+            b"content-length",
+            b"expect",
+        )
+        headers = [
+            messages.Header(name, value)
+            for name, value in http_messages.end_to_end(request.headers)
+            if name not in replaced
+        ]
+        service = self._peers.own.member.service.encode()
+        headers.append(messages.Header(self._dialect.caller_service, service))
+        return tuple(headers)
+
+    async def _run(self, call: _Call) -> http_messages.Response:
+        """Runs a call, with retries as far as they are allowed."""
+        self._budget.add_call()
+        opened = call.request.open
+        attempts = refusals = 0
+        may_have_run = False
+        tried: set[str] = set()
+        while True:
+            peer = self._choose(call, tried)
+            if peer is None:
+                text = f"no upstream of {opened.service} is known"
+                failure = exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text)
+                break
+            tried.add(peer.member.mesh)
+            try:
+                answer = await self._attempt(call, peer)
+            except exchange.CallFailed as error:
+                failure = error
+            else:
+                if answer.status < 500 or not opened.idempotent:
+                    return _response(answer)
+                if not self._may_retry(call, attempts):
+                    return _response(answer)
+                attempts += 1
+                may_have_run = True
+                continue
+            if failure.outcome != messages.Outcome.NOT_RUN:
+                may_have_run = True
+                if not opened.idempotent:
+                    break
+            if failure.code == errorcodes.CALL_OVERLOADED:
+                refusals += 1
+                if refusals >= MAX_REFUSALS:
+                    break
+                continue
+            if not self._may_retry(call, attempts):
+                break
+            attempts += 1
+        return self._failed(call, retry.settle(failure, may_have_run))
+
+    def _may_retry(self, call: _Call, attempts: int) -> bool:
+        """Tells whether a call may be sent to one more upstream."""
+        left_s = call.request.deadline - anyio.current_time()
+        if attempts >= call.target.policy.retries or left_s < MIN_RETRY_S:
+            return False
+        return self._budget.take()
+
+    def _choose(self, call: _Call, tried: set[str]) -> peers_module.Peer | None:
+        opened = call.request.open
+        now = anyio.current_time()
+        zone = self._settings.instance.zone
+        candidates = [
+            peer.candidate(zone, now)
+            for peer in self._peers.serving(opened.service)
+            if peer.member.mesh not in tried
+        ]
+        size = HEAD_BYTES + len(opened.body)
+        size += int(self._answer_bytes.get(opened.route, HEAD_BYTES))
+        chosen = placement.choose(candidates, size, self._random)
+        return self._peers.get(chosen.address) if chosen else None
+
+    async def _attempt(
+        self, call: _Call, peer: peers_module.Peer
+    ) -> messages.AnswerOpen:
+        """Sends a call to an instance and returns its answer.
+
+        Raises:
+            exchange.CallFailed: There is no whole answer.
+        """
+        answers: list[messages.AnswerOpen] = []
+
+        async def respond(response: exchange.Response) -> None:
+            answers.append(response.open)
+
+        peer.own += 1
+        try:
+            with anyio.fail_after(self._left_s(call)):
+                await self._send(call, peer, respond)
+        except exchange.CallFailed as failure:
+            self._note_failure(peer, failure)
+            raise
+        except TimeoutError as error:
+            text = "the deadline passed while the call ran"
+            raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
+        finally:
+            peer.own -= 1
+        answer = answers[0]
+        peer.reached()
+        peer.observe_answer(answer.status >= 500)
+        peer.report(answer.load, anyio.current_time())
+        self._observe_size(call.request.open.route, len(answer.body))
+        return answer
+
+    def _left_s(self, call: _Call) -> float:
+        return max(0.0, call.request.deadline - anyio.current_time())
+
+    async def _send(
+        self,
+        call: _Call,
+        peer: peers_module.Peer,
+        respond: exchange.Respond,
+    ) -> None:
+        target_s = call.target_at - anyio.current_time()
+        opened = call.request.open._replace(
+            target_ms=max(0, int(target_s * 1000))
+        )
+        request = call.request._replace(open=opened)
+        if peer is self._peers.own:
+            await self._beside.run(request, respond)
+        else:
+            await forward.forward(
+                self._links, peer.member.mesh, request, respond
+            )
+
+    def _note_failure(
+        self, peer: peers_module.Peer, failure: exchange.CallFailed
+    ) -> None:
+        now = anyio.current_time()
+        if failure.load is not None and failure.load.limit:
+            peer.report(failure.load, now)
+        if isinstance(failure, forward.LinkLost):
+            peer.failed(now)
+        elif failure.code == errorcodes.CALL_OVERLOADED:
+            peer.refused(now)
+        elif failure.code != errorcodes.CALL_DEADLINE:
+            peer.observe_answer(True)
+
+    def _observe_size(self, route: str, size: int) -> None:
+        before = self._answer_bytes.get(route, float(size))
+        self._answer_bytes[route] = before + SIZE_WEIGHT * (size - before)
+
+    def _failed(
+        self, call: _Call, failure: exchange.CallFailed
+    ) -> http_messages.Response:
+        """Returns the response for a call without an answer."""
+        if failure.outcome != messages.Outcome.NOT_RUN:
+            is_late = failure.code == errorcodes.CALL_DEADLINE
+            return _refusal(504 if is_late else 502, str(failure))
+        now = anyio.current_time()
+        pause_s = returns.retry_after_s(
+            call.target_at - now,
+            call.request.deadline - now,
+            failure.retry_after_ms / 1000,
+            self._random.random(),
+        )
+        return _refusal(503, str(failure), pause_s)
+
+
+def _response(answer: messages.AnswerOpen) -> http_messages.Response:
+    headers = tuple((header.name, header.value) for header in answer.headers)
+    return http_messages.Response(answer.status, headers, answer.body)
+
+
+def _refusal(
+    status: int, text: str, retry_after_s: float | None = None
+) -> http_messages.Response:
+    headers = [(b"content-type", b"text/plain; charset=utf-8")]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%g" % retry_after_s))
+    return http_messages.Response(
+        status, tuple(headers), (text + "\n").encode()
+    )
--- /dev/null
+++ b/rattangauge/sidecar/following.py
@@ -0,0 +1,201 @@
+"""Follows the configuration in the store, and through the peers without it."""
+
+from collections.abc import Callable
+import random as random_module
+
+import anyio
+import loguru
+
+from rattangauge import errors
+from rattangauge.config import edition as edition_module
+from rattangauge.config import objects as objects_module
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.membership import peers as peers_module
+from rattangauge.net import links as links_module
+from rattangauge.sidecar import stores
+
+# A silent connection shows after one watch, so a watch is short.
+WATCH_S = 3.0
+# Changes in a row are read together; each watch that ends is a call.
+HOLD_OFF_S = 0.3
+RETRY_S = 0.15
+MAX_RETRY_S = 1.0
+# The configuration of a peer is pulled if the store has not brought it by then.
+PULL_AFTER_S = 0.4
+PULL_PERIOD_S = 0.2
+PULL_TIMEOUT_S = 1.0
+
+# Puts a configuration in force.
+Use = Callable[[edition_module.Edition], None]
+
+
+class Following:
+    """Keeps the newest configuration in force."""
+
+    def __init__(
+        self,
+        store: stores.Store,
+        peers: peers_module.PeerTable,
+        links: links_module.Links,
+        use: Use,
+    ) -> None:
+        """Creates the part without a configuration.
+
+        Args:
+            store: The store.
+            peers: Peers that may have a newer configuration.
+            links: Connections to them.
+            use: Puts a configuration in force.
+        """
+        self._store = store
+        self._peers = peers
+        self._links = links
+        self._use = use
+        self._current: edition_module.Edition | None = None
+        self._random = random_module.Random()
+        self._is_reachable: bool | None = None
+        self._behind_since = 0.0
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 if there is none."""
+        return self._current.version if self._current else 0
+
+    @property
+    def digest(self) -> str:
+        """Digest of the configuration in force; empty if there is none."""
+        return self._current.digest if self._current else ""
+
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last call of the store succeeded."""
+        return bool(self._is_reachable)
+
+    async def run(self) -> None:
+        """Follows the configuration until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_store)
+            tasks.start_soon(self._follow_peers)
+
+    async def _follow_store(self) -> None:
+        revision = 0
+        failures = 0
+        while True:
+            try:
+                if revision:
+                    found = await self._store.watch_configuration(
+                        revision, WATCH_S
+                    )
+                else:
+                    found = await self._store.read_configuration()
+            except errors.CodedError as error:
+                self._note_store(error)
+                revision = 0
+                failures += error.code != errorcodes.STORE_COMPACTED
+                await anyio.sleep(self._pause_s(failures))
+                continue
+            self._note_store(None)
+            failures = 0
+            revision = found.revision
+            if found.objects is not None:
+                self._take(found.version, found.objects)
+                await anyio.sleep(HOLD_OFF_S)
+            elif not found.version and not self.version:
+                revision = 0
+                await anyio.sleep(self._pause_s(1))
+
+    def _pause_s(self, failures: int) -> float:
+        longest_s = min(MAX_RETRY_S, RETRY_S * 2 ** min(failures, 8))
+        return longest_s * self._random.uniform(0.5, 1.0)
+
+    def _note_store(self, error: errors.CodedError | None) -> None:
+        is_reachable = error is None
+        if is_reachable is self._is_reachable:
+            return
+        self._is_reachable = is_reachable
+        if error is None:
+            loguru.logger.info("the store is reachable")
+        else:
+            loguru.logger.warning("the store is lost: {}", error)
+
+    def _take(self, version: int, objects: objects_module.ObjectSet) -> None:
+        if version <= self.version:
+            return
+        data = edition_module.encode(objects)
+        digest = edition_module.digest_of(data)
+        self._adopt(edition_module.Edition(version, digest, objects, data))
+
+    def _adopt(self, edition: edition_module.Edition) -> None:
+        self._current = edition
+        self._behind_since = 0.0
+        self._use(edition)
+        loguru.logger.bind(version=edition.version).info(
+            "configuration in force"
+        )
+
+    async def _follow_peers(self) -> None:
+        """Pulls a newer configuration from a peer that has it for a while."""
+        while True:
+            await anyio.sleep(PULL_PERIOD_S)
+            newest = max(
+                self._peers.others(),
+                key=lambda peer: peer.member.version,
+                default=None,
+            )
+            if newest is None or newest.member.version <= self.version:
+                self._behind_since = 0.0
+                continue
+            now = anyio.current_time()
+            if not self._behind_since:
+                self._behind_since = now
+            if not self.version or now - self._behind_since >= PULL_AFTER_S:
+                await self._pull(newest.member.mesh)
+
+    async def _pull(self, address: str) -> None:
+        request = messages.EditionRequest(self.version, self.digest)
+        try:
+            with anyio.fail_after(PULL_TIMEOUT_S):
+                edition = await self._receive(address, request)
+        except (errors.CodedError, errors.FindingsError, TimeoutError) as error:
+            loguru.logger.warning(
+                "no configuration from {}: {}", address, error
+            )
+            return
+        if edition is not None and edition.version > self.version:
+            self._adopt(edition)
+
+    async def _receive(
+        self, address: str, request: messages.EditionRequest
+    ) -> edition_module.Edition | None:
+        pieces = []
+        async with self._links.stream(address) as stream:
+            await stream.send(request)
+            while True:
+                part = await stream.receive()
+                if not isinstance(part, messages.EditionPart):
+                    return None
+                pieces.append(part.data)
+                if part.last:
+                    break
+        return edition_module.decode(
+            part.version, part.digest, b"".join(pieces)
+        )
+
+    async def serve(
+        self, stream: links_module.Stream, _request: messages.EditionRequest
+    ) -> None:
+        """Sends the configuration in force to a peer."""
+        current = self._current
+        if current is None:
+            code = errorcodes.CALL_NOT_READY
+            await stream.send(messages.EditionRefused(code, 1000))
+            return
+        parts = edition_module.split(current.data)
+        for number, data in enumerate(parts, 1):
+            is_last = number == len(parts)
+            await stream.send(
+                messages.EditionPart(
+                    current.version, current.digest, False, data, is_last
+                )
+            )
--- /dev/null
+++ b/rattangauge/sidecar/node.py
@@ -0,0 +1,214 @@
+"""Wires the parts of the daemon beside one upstream together."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+
+import anyio
+import anyio.abc
+import loguru
+import prometheus_client
+
+from rattangauge import errors
+from rattangauge import settings as settings_module
+from rattangauge import util
+from rattangauge.config import edition as edition_module
+from rattangauge.generated import messages
+from rattangauge.http import messages as http_messages
+from rattangauge.http import server as server_module
+from rattangauge.membership import heartbeats
+from rattangauge.membership import peers as peers_module
+from rattangauge.net import forward
+from rattangauge.net import links as links_module
+from rattangauge.net import servers
+from rattangauge.sidecar import beside as beside_module
+from rattangauge.sidecar import dialect as dialect_module
+from rattangauge.sidecar import dispatch as dispatch_module
+from rattangauge.sidecar import following as following_module
+from rattangauge.sidecar import news as news_module
+from rattangauge.sidecar import stores
+
+# After the signal to stop, callers need this time to turn to other daemons.
+ANNOUNCE_S = 2.5
+STOP_CHECK_S = 0.05
+LISTEN_BACKLOG = 1024
+
+Told = heartbeats.Heartbeat | heartbeats.Departure
+
+# Reads a request of the upstream.
+ReadHeartbeat = Callable[[http_messages.Request], Told]
+
+
+class Node:
+    """One daemon beside one upstream."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        dialect: dialect_module.Dialect,
+        store: stores.Store,
+        read_heartbeat: ReadHeartbeat,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Creates the parts of a daemon; ``run`` starts them."""
+        self._settings = settings
+        self._read_heartbeat = read_heartbeat
+        self._links = links_module.Links(settings, tasks)
+        self._peers = peers_module.PeerTable(_own_record(settings))
+        self._beside = beside_module.Beside(dialect)
+        self._dispatch = dispatch_module.Dispatch(
+            settings, dialect, self._links, self._peers, self._beside
+        )
+        self._following = following_module.Following(
+            store, self._peers, self._links, self._use
+        )
+        self._news = news_module.News(
+            settings,
+            store,
+            self._peers,
+            self._links,
+            self._beside,
+            self._following,
+        )
+        self._callers = server_module.Server(
+            self._dispatch.handle, lambda: self._dispatch.limits
+        )
+        self._stopping = anyio.Event()
+
+    def _use(self, edition: edition_module.Edition) -> None:
+        self._dispatch.use(edition)
+
+    async def run(self) -> None:
+        """Runs the daemon until ``stop`` is called and its calls have ended."""
+        listen = self._settings.listen
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(servers.serve_mesh, self._handle, self._settings)
+            await _serve(tasks, listen.callers, self._callers)
+            await _serve(tasks, listen.ready, self._server(self._ready))
+            await _serve(tasks, listen.control, self._server(self._control))
+            await _serve(tasks, listen.operators, self._server(_metrics))
+            tasks.start_soon(self._following.run)
+            tasks.start_soon(self._news.run)
+            loguru.logger.info("the daemon listens")
+            await self._stopping.wait()
+            await self._finish()
+            tasks.cancel_scope.cancel()
+        loguru.logger.info("the daemon ends")
+
+    def _server(self, handler: server_module.Handler) -> server_module.Server:
+        return server_module.Server(handler)
+
+    def stop(self) -> None:
+        """Starts a graceful shutdown."""
+        self._stopping.set()
+
+    async def _finish(self) -> None:
+        """Lets callers turn away, then waits for what still runs."""
+        self._beside.stop()
+        self._callers.close_connections()
+        await self._news.leave()
+        began = anyio.current_time()
+        limit_s = self._settings.shutdown.limit_s
+        while (elapsed_s := anyio.current_time() - began) < limit_s:
+            is_idle = not self._callers.busy and not self._beside.running
+            if is_idle and elapsed_s >= ANNOUNCE_S:
+                return
+            await anyio.sleep(STOP_CHECK_S)
+        loguru.logger.warning(
+            "{} connections and {} calls are cut off",
+            self._callers.busy,
+            self._beside.running,
+        )
+
+    async def _handle(
+        self, stream: links_module.Stream, message: messages.Message
+    ) -> None:
+        if isinstance(message, messages.CallOpen):
+            await forward.serve(stream, message, self._beside.run)
+        elif isinstance(message, messages.PeerNews):
+            await self._news.answer(stream, message)
+        elif isinstance(message, messages.EditionRequest):
+            await self._following.serve(stream, message)
+
+    async def _ready(
+        self, _request: http_messages.Request
+    ) -> http_messages.Response:
+        is_ready = self._following.version and not self._stopping.is_set()
+        return http_messages.Response(200 if is_ready else 503)
+
+    async def _control(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        """Takes a heartbeat of the upstream, or word that it is gone."""
+        try:
+            told = self._read_heartbeat(request)
+        except errors.FindingsError as error:
+            loguru.logger.warning("a heartbeat is not valid: {}", error)
+            return http_messages.Response(400, (), str(error).encode())
+        if isinstance(told, heartbeats.Heartbeat):
+            is_news = await self._beside.take_heartbeat(told)
+        else:
+            is_news = await self._beside.take_departure(told)
+        if is_news:
+            loguru.logger.bind(state=self._beside.state.name).info(
+                "the upstream has changed: {}", told
+            )
+            self._news.refresh()
+        headers = ((b"content-type", b"application/json"),)
+        return http_messages.Response(200, headers, b"{}")
+
+
+async def _metrics(_request: http_messages.Request) -> http_messages.Response:
+    body = prometheus_client.generate_latest()
+    content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
+    return http_messages.Response(200, ((b"content-type", content_type),), body)
+
+
+def _own_record(settings: settings_module.Settings) -> messages.Member:
+    return messages.Member(
+        instance=settings.instance.name,
+        zone=settings.instance.zone,
+        region=settings.instance.region,
+        mesh=settings.listen.advertise or settings.listen.mesh,
+        service=settings.instance.service,
+        incarnation=util.now_ms(),
+    )
+
+
+async def _serve(
+    tasks: anyio.abc.TaskGroup, address: str, server: server_module.Server
+) -> None:
+    """Listens on an address; an empty one is left out."""
+    if not address:
+        return
+    host, port = util.parse_address(address)
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=port, backlog=LISTEN_BACKLOG
+    )
+    tasks.start_soon(server.serve, listener)
+
+
+async def _stop_on_signal(node: Node) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            loguru.logger.info(
+                "shutting down on {}", signal.Signals(number).name
+            )
+            node.stop()
+
+
+StoreContext = Callable[[settings_module.Settings], Awaitable[stores.Store]]
+
+
+async def run(
+    settings: settings_module.Settings,
+    dialect: dialect_module.Dialect,
+    store: stores.Store,
+    read_heartbeat: ReadHeartbeat,
+) -> None:
+    """Runs a daemon until it is told to stop by a signal."""
+    async with anyio.create_task_group() as tasks:
+        node = Node(settings, dialect, store, read_heartbeat, tasks)
+        tasks.start_soon(_stop_on_signal, node)
+        await node.run()
+        tasks.cancel_scope.cancel()
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -24,6 +24,7 @@
     editionPart @17 :EditionPart;
     editionRefused @18 :EditionRefused;
     zoneExchange @19 :ZoneExchange;
+    peerNews @20 :PeerNews;
   }
 }
 
@@ -64,6 +65,9 @@
   body @14 :Data;
   last @15 :Bool;       # no callData follows
   claimed @16 :Bool;    # the key is claimed in the store for the receiver
+  route @17 :Text;      # name of the route
+  targetMs @18 :UInt32; # time left to the target latency; 0 if none or passed
+  returned @19 :Bool;   # the caller was refused before and came back
 }
 struct CallData { body @0 :Data; last @1 :Bool; }
 struct CallCancel { reason @0 :Text; }
@@ -181,3 +185,10 @@
   known @3 :List(ZoneSequence);  # the answer has only later summaries
   mesh @4 :Text;        # of the sender
 }
+
+# What a daemon tells its peers of itself, without a member table.
+struct PeerNews {
+  member @0 :Member;
+  load @1 :Load;
+  digest @2 :Text;      # of the configuration in force
+}
