Keep calls in their zone while they meet their target latency

Change: placement stays in the own zone while a call is expected to end within 0.55 of the time to its target latency; waiting counts twice; frames are packed.

--- a/rattangauge/calls/placement.py
+++ b/rattangauge/calls/placement.py
@@ -13,14 +13,32 @@
 ZONE_COST_S = 0.002
 ZONE_COST_S_PER_BYTE = 1.5e-6
 
+# A call stays in its zone if it is expected to end within this share of the
+# time that is left to its target latency.
+LOCAL_SHARE = 0.55
+
 # Latency to assume of an instance without a measurement, in seconds.
 DEFAULT_HOLD_S = 0.05
 
+# A call that waits also delays those that come after it.
+WAIT_WEIGHT = 2.0
 # A busy upstream is a little slower than an idle one, which also spreads calls.
 BUSY_SHARE = 0.15
 JITTER_SHARE = 0.05
 
 
+class Demand(NamedTuple):
+    """What matters of a call for its placement.
+
+    Attributes:
+        size: Bytes of the request and of the expected answer.
+        target_left_s: Time that is left to its target latency, in seconds.
+    """
+
+    size: int
+    target_left_s: float
+
+
 class Candidate(NamedTuple):
     """An instance that could take a call.
 
@@ -48,19 +66,30 @@
     return max(0, ahead) * hold_s / max(1, candidate.slots)
 
 
-def cost_s(candidate: Candidate, call_bytes: int) -> float:
-    """Returns the expected time of a call, and the price of its way."""
+def expected_s(candidate: Candidate) -> float:
+    """Returns the time in which a call is expected to end, in seconds."""
+    return wait_s(candidate) + (candidate.hold_s or DEFAULT_HOLD_S)
+
+
+def cost_s(candidate: Candidate, size: int) -> float:
+    """Returns what a call costs there: its time, its wait and its way.
+
+    Args:
+        candidate: The instance.
+        size: Bytes of the request and of the expected answer.
+    """
     hold_s = candidate.hold_s or DEFAULT_HOLD_S
     fill = min(1.0, candidate.busy / max(1, candidate.slots))
-    cost = wait_s(candidate) + hold_s * (1.0 + BUSY_SHARE * fill)
+    cost = WAIT_WEIGHT * wait_s(candidate)
+    cost += hold_s * (1.0 + BUSY_SHARE * fill)
     if not candidate.is_local:
-        cost += ZONE_COST_S + ZONE_COST_S_PER_BYTE * call_bytes
+        cost += ZONE_COST_S + ZONE_COST_S_PER_BYTE * size
     return cost
 
 
 def choose(
     candidates: Sequence[Candidate],
-    call_bytes: int,
+    demand: Demand,
     random: random_module.Random,
 ) -> Candidate | None:
     """Returns the instance that takes a call; None if there is none.
@@ -69,16 +98,18 @@
 
     Args:
         candidates: Instances that may take the call.
-        call_bytes: Size of the request and of the expected answer.
+        demand: The call.
         random: Source of random numbers.
     """
     healthy = [c for c in candidates if not c.is_ill]
     usable = healthy or candidates
     if not usable:
         return None
+    limit_s = LOCAL_SHARE * demand.target_left_s
+    local = [c for c in usable if c.is_local and expected_s(c) <= limit_s]
 
     def cost(candidate: Candidate) -> float:
         jitter = 1.0 + JITTER_SHARE * random.random()
-        return cost_s(candidate, call_bytes) * jitter
+        return cost_s(candidate, demand.size) * jitter
 
-    return min(usable, key=cost)
+    return min(local or usable, key=cost)
--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -27,11 +27,11 @@
 LARGE_BODY_BYTES = 32_768
 
 
-class NotSent(Exception):
+class NotSentError(Exception):
     """No byte of the request was sent."""
 
 
-class Broken(Exception):
+class BrokenError(Exception):
     """The request was sent and there is no whole response."""
 
 
@@ -88,8 +88,8 @@
         """Sends a request and returns its response.
 
         Raises:
-            NotSent: The upstream cannot be reached.
-            Broken: There is no whole response.
+            NotSentError: The upstream cannot be reached.
+            BrokenError: There is no whole response.
         """
         stream = await self._connect()
         is_reusable = False
@@ -101,7 +101,7 @@
             anyio.EndOfStream,
             h11.RemoteProtocolError,
         ) as error:
-            raise Broken(repr(error)) from error
+            raise BrokenError(repr(error)) from error
         finally:
             if not is_reusable:
                 await anyio.aclose_forcefully(stream)
@@ -128,7 +128,7 @@
         except (OSError, TimeoutError, AttributeError) as error:
             # uvloop raises AttributeError for a connection that is reset while
             # it is set up.
-            raise NotSent(repr(error)) from error
+            raise NotSentError(repr(error)) from error
 
     async def _exchange(
         self, stream: anyio.abc.SocketStream, request: messages.Request
@@ -155,7 +155,9 @@
             )
             tasks.cancel_scope.cancel()
         if response is None:
-            raise Broken("the upstream ended the connection inside the request")
+            raise BrokenError(
+                "the upstream ended the connection inside the request"
+            )
         return response, is_reusable and is_sent
 
     async def _receive(
@@ -178,7 +180,7 @@
             parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_BYTES)
             _encode(parser, request)
             parser.receive_data(trailing)
-        raise Broken("the response belongs to another request")
+        raise BrokenError("the response belongs to another request")
 
 
 async def _unwrapped(
@@ -192,7 +194,7 @@
         anyio.ClosedResourceError,
         anyio.EndOfStream,
         h11.RemoteProtocolError,
-        Broken,
+        BrokenError,
     ):
         return None, False
 
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -49,7 +49,7 @@
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
 
-class Refused(Exception):
+class RefusedError(Exception):
     """A request that is answered without being handled.
 
     Attributes:
@@ -200,7 +200,7 @@
         except h11.RemoteProtocolError as error:
             loguru.logger.warning("a request is not valid HTTP: {}", error)
             return await self._refuse(error.error_status_hint)
-        except Refused as error:
+        except RefusedError as error:
             loguru.logger.warning("a request is refused: {}", error)
             return await self._refuse(error.status)
         except TimeoutError:
@@ -228,7 +228,7 @@
         """Reads the body of a request; None if the caller left.
 
         Raises:
-            Refused: The request exceeds a limit.
+            RefusedError: The request exceeds a limit.
         """
         received_at = anyio.current_time()
         headers = tuple((bytes(k), bytes(v)) for k, v in head.headers)
@@ -247,9 +247,11 @@
                 size += len(event.data)
                 self._server.held_bytes += len(event.data)
                 if size > limits.body_bytes:
-                    raise Refused(413, f"its body has more than {size} bytes")
+                    raise RefusedError(
+                        413, f"its body has more than {size} bytes"
+                    )
                 if self._server.held_bytes > MAX_HELD_BYTES:
-                    raise Refused(503, "the daemon holds too many bodies")
+                    raise RefusedError(503, "the daemon holds too many bodies")
         finally:
             self._server.held_bytes -= size
         return messages.Request(
@@ -263,13 +265,13 @@
     def _check_head(self, headers: messages.Headers, limits: Limits) -> None:
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         if size > limits.header_bytes:
-            raise Refused(431, f"its headers have {size} bytes")
+            raise RefusedError(431, f"its headers have {size} bytes")
         names = [name for name, _value in headers]
         if b"transfer-encoding" in names and b"content-length" in names:
-            raise Refused(400, "it has two lengths")
+            raise RefusedError(400, "it has two lengths")
         length = messages.find(headers, b"content-length")
         if length and int(length) > limits.body_bytes:
-            raise Refused(413, f"its body has {int(length)} bytes")
+            raise RefusedError(413, f"its body has {int(length)} bytes")
 
     async def _answer(self, request: messages.Request) -> bool:
         response: messages.Response | None = None
--- a/rattangauge/net/frames.py
+++ b/rattangauge/net/frames.py
@@ -11,7 +11,7 @@
 from rattangauge.generated import messages
 
 MAGIC = b"RG"
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 MAX_FRAME_BYTES = 1_048_576
 HEAD = struct.Struct("<2sHI")
 
--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -201,11 +201,11 @@
         try:
             with anyio.fail_after(left_s):
                 response = await client.exchange(sent)
-        except client_module.NotSent as error:
+        except client_module.NotSentError as error:
             failure = self._refusal(str(error))
             failure.code = errorcodes.CALL_NO_UPSTREAM
             raise failure from error
-        except client_module.Broken as error:
+        except client_module.BrokenError as error:
             failure = exchange.unknown(
                 str(error), errorcodes.CALL_UPSTREAM_FAILED
             )
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -232,7 +232,8 @@
         ]
         size = HEAD_BYTES + len(opened.body)
         size += int(self._answer_bytes.get(opened.route, HEAD_BYTES))
-        chosen = placement.choose(candidates, size, self._random)
+        demand = placement.Demand(size, call.target_at - now)
+        chosen = placement.choose(candidates, demand, self._random)
         return self._peers.get(chosen.address) if chosen else None
 
     async def _attempt(
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -140,7 +140,7 @@
         "_SCHEMA = capnp.load(\n"
         '    str(pathlib.Path(__file__).with_name("messages.capnp"))\n)\n'
         "_new_frame = _SCHEMA.Frame.new_message\n"
-        "_frame_from_bytes = _SCHEMA.Frame.from_bytes\n\n\n"
+        "_frame_from_bytes = _SCHEMA.Frame.from_bytes_packed\n\n\n"
     )
     for name in enums:
         field = _field_of_enum(schema, structs, name)
@@ -200,15 +200,15 @@
         "    frame.stream = stream\n"
         "    name, write = _WRITERS[type(message)]\n"
         "    write(frame.init(name), message)\n"
-        "    return frame.to_bytes()\n\n\n"
+        "    return frame.to_bytes_packed()\n\n\n"
         "def decode(data: bytes) -> tuple[int, Message]:\n"
         '    """Decodes one Frame into its stream and message.\n\n'
         "    Raises:\n"
         "        Exception: pycapnp raises several types for malformed data.\n"
         '    """\n'
-        "    with _frame_from_bytes(data) as frame:\n"
-        "        name = str(frame.which())\n"
-        "        return frame.stream, _READERS[name](getattr(frame, name))\n"
+        "    frame = _frame_from_bytes(data)\n"
+        "    name = str(frame.which())\n"
+        "    return frame.stream, _READERS[name](getattr(frame, name))\n"
     )
     return "\n".join(lines)
 
