--- a/rattangauge/calls/placement.py
+++ b/rattangauge/calls/placement.py
@@ -61,14 +61,14 @@
 
 def wait_s(candidate: Candidate) -> float:
     """Returns the time until a call would get a slot, in seconds."""
-    hold_s = candidate.hold_s or DEFAULT_HOLD_S
+    hold_s = candidate.hold_s
     ahead = candidate.busy + 1 - candidate.slots
     return max(0, ahead) * hold_s / max(1, candidate.slots)
 
 
 def expected_s(candidate: Candidate) -> float:
     """Returns the time in which a call is expected to end, in seconds."""
-    return wait_s(candidate) + (candidate.hold_s or DEFAULT_HOLD_S)
+    return wait_s(candidate) + candidate.hold_s
 
 
 def cost_s(candidate: Candidate, size: int) -> float:
@@ -78,7 +78,7 @@
         candidate: The instance.
         size: Bytes of the request and of the expected answer.
     """
-    hold_s = candidate.hold_s or DEFAULT_HOLD_S
+    hold_s = candidate.hold_s
     fill = min(1.0, candidate.busy / max(1, candidate.slots))
     cost = WAIT_WEIGHT * wait_s(candidate)
     cost += hold_s * (1.0 + BUSY_SHARE * fill)
@@ -87,6 +87,16 @@
     return cost
 
 
+def _with_hold(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Gives those without a measurement the best time of the others.
+
+    An instance that is new, or that was left alone, is tried that way.
+    """
+    known = [c.hold_s for c in candidates if c.hold_s]
+    least_s = min(known, default=DEFAULT_HOLD_S)
+    return [c if c.hold_s else c._replace(hold_s=least_s) for c in candidates]
+
+
 def choose(
     candidates: Sequence[Candidate],
     demand: Demand,
@@ -101,10 +111,10 @@
         demand: The call.
         random: Source of random numbers.
     """
-    healthy = [c for c in candidates if not c.is_ill]
-    usable = healthy or candidates
-    if not usable:
+    if not candidates:
         return None
+    measured = _with_hold(candidates)
+    usable = [c for c in measured if not c.is_ill] or measured
     limit_s = LOCAL_SHARE * demand.target_left_s
     local = [c for c in usable if c.is_local and expected_s(c) <= limit_s]
 
--- a/rattangauge/calls/waiting.py
+++ b/rattangauge/calls/waiting.py
@@ -9,14 +9,19 @@
 import bisect
 from collections.abc import Iterable
 import itertools
+import math
 from typing import NamedTuple
 
 # Hold time of a slot that is assumed before any is known, in seconds.
 DEFAULT_HOLD_S = 0.05
 HOLD_WEIGHT = 0.1
+# Time over which the mean hold time of all calls is taken, in seconds.
+MEMORY_S = 0.4
+# An upstream without a call for this time counts as unmeasured.
+FORGET_S = 3.0
 
-# A call is refused if it would end later than this before its time is up.
-MARGIN_S = 0.005
+# Calls of one kind differ: one that must end in time needs more than the mean.
+CAUTION = 1.2
 
 
 class Waiter(NamedTuple):
@@ -46,6 +51,45 @@
     refused: tuple[Waiter, ...] = ()
 
 
+class _Pace:
+    """Mean time that calls hold a slot, also while none of them ends.
+
+    It is the slot time that was spent for each call that ended, over the last
+    moments. An upstream that slows down shows before its calls have ended.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Starts with one call of the default length."""
+        self._spent_s = DEFAULT_HOLD_S
+        self._ended = 1.0
+        self._at = now
+        self._used_at = now - FORGET_S
+
+    @property
+    def hold_s(self) -> float:
+        """Mean time that a call holds a slot, in seconds."""
+        return self._spent_s / self._ended
+
+    def advance(self, running: int, now: float) -> None:
+        """Counts the time in which a number of calls ran."""
+        elapsed_s = max(0.0, now - self._at)
+        self._at = now
+        if not running:
+            return
+        self._used_at = now
+        kept = math.exp(-elapsed_s / MEMORY_S)
+        self._spent_s = self._spent_s * kept + running * elapsed_s
+        self._ended *= kept
+
+    def is_measured(self, now: float) -> bool:
+        """Tells whether calls have run a moment ago."""
+        return now - self._used_at < FORGET_S
+
+    def end(self) -> None:
+        """Counts a call that ended."""
+        self._ended += 1.0
+
+
 class _Entry(NamedTuple):
     """A waiting call in the order of service."""
 
@@ -61,19 +105,20 @@
 class Queue:
     """Slots of one upstream, and the calls that wait for them."""
 
-    def __init__(self, slots: int, bound: int) -> None:
+    def __init__(self, slots: int, bound: int, now: float = 0.0) -> None:
         """Creates an empty queue.
 
         Args:
             slots: Calls that may run at a time.
             bound: Calls that may wait.
+            now: Time in seconds, as for all methods.
         """
         self._slots = slots
         self._bound = bound
         self._running: dict[int, Waiter] = {}
         self._waiting: list[_Entry] = []
         self._hold_s: dict[str, float] = {}
-        self._mean_hold_s = 0.0
+        self._pace = _Pace(now)
         self._arrivals = itertools.count()
         self._is_closed = False
 
@@ -94,8 +139,12 @@
 
     @property
     def mean_hold_s(self) -> float:
-        """Mean time that a call holds a slot, in seconds; 0 if unknown."""
-        return self._mean_hold_s
+        """Mean time that a call holds a slot, in seconds."""
+        return self._pace.hold_s
+
+    def measured_hold_s(self, now: float) -> float:
+        """Returns the mean hold time; 0 if no calls have run lately."""
+        return self._pace.hold_s if self._pace.is_measured(now) else 0.0
 
     @property
     def is_closed(self) -> bool:
@@ -104,7 +153,7 @@
 
     def hold_s(self, kind: str) -> float:
         """Returns the time that a call of a kind holds a slot, in seconds."""
-        return self._hold_s.get(kind) or self._mean_hold_s or DEFAULT_HOLD_S
+        return self._hold_s.get(kind) or self._pace.hold_s
 
     def wait_s(self) -> float:
         """Returns the wait of a call that would be served last, in seconds."""
@@ -112,6 +161,7 @@
 
     def offer(self, waiter: Waiter, now: float) -> Outcome:
         """Takes a call: it is started, queued or refused."""
+        self._pace.advance(self.running, now)
         if self._is_closed:
             return Outcome(refused=(waiter,))
         if not self._waiting and self.running < self._slots:
@@ -129,8 +179,11 @@
             seconds: Time that it held the slot; 0 if it says nothing.
             now: Time.
         """
-        if self._running.pop(waiter.number, None) is None:
+        if waiter.number not in self._running:
             return Outcome()
+        self._pace.advance(self.running, now)
+        self._pace.end()
+        del self._running[waiter.number]
         if seconds > 0.0:
             self._observe(waiter.kind, seconds)
         return self.advance(now)
@@ -165,15 +218,13 @@
     def _observe(self, kind: str, seconds: float) -> None:
         before_s = self._hold_s.get(kind, seconds)
         self._hold_s[kind] = before_s + HOLD_WEIGHT * (seconds - before_s)
-        mean_s = self._mean_hold_s or seconds
-        self._mean_hold_s = mean_s + HOLD_WEIGHT * (seconds - mean_s)
 
     def _wait_behind(self, ahead: Iterable[_Entry]) -> float:
         """Returns the wait of a call behind others, in seconds."""
         if self.running < self._slots:
             return 0.0
         work_s = sum(self.hold_s(entry.waiter.kind) for entry in ahead)
-        return (work_s + self.hold_s("")) / max(1, self._slots)
+        return (work_s + self.mean_hold_s) / max(1, self._slots)
 
     def _is_hopeless(self, waiter: Waiter, wait_s: float, now: float) -> bool:
         """Tells whether a call should not go on waiting.
@@ -181,7 +232,7 @@
         A caller that may still come back is refused as soon as it would miss
         the target latency; one that came back waits up to its deadline.
         """
-        ends_at = now + wait_s + self.hold_s(waiter.kind) + MARGIN_S
+        ends_at = now + wait_s + CAUTION * self.hold_s(waiter.kind)
         if ends_at > waiter.deadline:
             return True
         earliest = now + self.hold_s(waiter.kind)
@@ -196,7 +247,7 @@
         slots = max(1, self._slots)
         for entry in self._waiting[place:]:
             free = self.running + len(kept) < self._slots
-            wait_s = 0.0 if free else (work_s + self.hold_s("")) / slots
+            wait_s = 0.0 if free else (work_s + self.mean_hold_s) / slots
             too_many = len(kept) >= self._bound
             if too_many or self._is_hopeless(entry.waiter, wait_s, now):
                 refused.append(entry.waiter)
--- a/rattangauge/cmdline.py
+++ b/rattangauge/cmdline.py
@@ -17,6 +17,7 @@
 from rattangauge.commands import reading
 from rattangauge.commands import status as status_module
 from rattangauge.commands import store as store_module
+from rattangauge.commands import tracing
 
 app = cyclopts.App(
     name="rattangauge",
@@ -244,6 +245,28 @@
     return output.run(command)
 
 
+@app.command
+def trace(request: str, *logs: pathlib.Path, json: Json = False) -> int:
+    """Prints the way of one request through the logs of the daemons.
+
+    Args:
+        request: Id of the request.
+        logs: Files with the logs; standard input if there are none.
+        json: Print one JSON document.
+    """
+    return tracing.trace(request, logs, json)
+
+
+@app.command
+def why(*logs: pathlib.Path) -> int:
+    """Counts the failed requests in the logs of the daemons by cause.
+
+    Args:
+        logs: Files with the logs; standard input if there are none.
+    """
+    return tracing.why(logs)
+
+
 def run(tokens: list[str] | None = None) -> int:
     """Runs one command and returns its exit code."""
     try:
--- a/rattangauge/commands/output.py
+++ b/rattangauge/commands/output.py
@@ -21,6 +21,7 @@
 EXIT_UNAVAILABLE = 4
 EXIT_UNFINISHED = 5
 EXIT_NOT_EVERYWHERE = 6
+EXIT_NOT_FOUND = 7
 EXIT_INTERRUPTED = 130
 
 PIPE_WIDTH = 240
@@ -29,8 +30,8 @@
 Exit codes: 0 done; 1 the objects have findings; 2 wrong usage; 3 refused (a
 conflict, a version or an object that does not exist, a zone above the head);
 4 the store or the daemon did not answer as expected; 5 the publish could not
-be confirmed; 6 the version is not in force everywhere in time; 130
-interrupted.
+be confirmed; 6 the version is not in force everywhere in time; 7 the logs do
+not name the request; 130 interrupted.
 """
 
 _EXIT_BY_CODE = {
--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -105,12 +105,10 @@
         finally:
             if not is_reusable:
                 await anyio.aclose_forcefully(stream)
-        idle_s = _keep_alive_s(response) - IDLE_MARGIN_S
-        if idle_s > 0.0:
+        if is_reusable:
+            idle_s = _keep_alive_s(response) - IDLE_MARGIN_S
             until = anyio.current_time() + idle_s
             self._idle.append(_Idle(stream, until))
-        else:
-            await anyio.aclose_forcefully(stream)
         return response
 
     async def _connect(self) -> anyio.abc.SocketStream:
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -103,9 +103,12 @@
         """Answers a request."""
         return await self._handler(request)
 
-    async def serve(self, listener: anyio.abc.Listener) -> None:
+    async def serve(
+        self, listener: anyio.abc.Listener[anyio.abc.SocketStream]
+    ) -> None:
         """Serves connections until cancelled."""
-        await listener.serve(self._serve_one)
+        async with listener:
+            await listener.serve(self._serve_one)
 
     async def _serve_one(self, stream: anyio.abc.ByteStream) -> None:
         connection = _Connection(self, stream)
@@ -136,15 +139,20 @@
 
     async def run(self) -> None:
         """Serves requests until either end closes the connection."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._receive)
-            try:
-                while await self._serve_next():
-                    pass
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                pass  # the caller has left; its call was cancelled
-            tasks.cancel_scope.cancel()
-        await anyio.aclose_forcefully(self._stream)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._receive)
+                await self._serve_all()
+                tasks.cancel_scope.cancel()
+        finally:
+            await anyio.aclose_forcefully(self._stream)
+
+    async def _serve_all(self) -> None:
+        try:
+            while await self._serve_next():
+                pass
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            loguru.logger.debug("a caller has left: {!r}", error)
 
     async def _receive(self) -> None:
         """Receives bytes; a caller that leaves cancels its call."""
--- /dev/null
+++ b/rattangauge/lab/policies.py
@@ -0,0 +1,92 @@
+"""Policies of the model: the present one, and those it is compared with."""
+
+from collections import deque
+import random as random_module
+
+from rattangauge.calls import placement
+from rattangauge.calls import returns
+from rattangauge.calls import waiting
+from rattangauge.lab import model
+
+FIXED_PAUSE_S = 0.1
+
+
+class PlainQueue(waiting.Queue):
+    """First come, first served, refusing only what exceeds a bound."""
+
+    def __init__(self, slots: int, bound: int, now: float) -> None:
+        """Creates an empty queue."""
+        super().__init__(slots, bound, now)
+        self._line: deque[waiting.Waiter] = deque()
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._line)
+
+    def offer(self, waiter: waiting.Waiter, now: float) -> waiting.Outcome:
+        """Takes a call: it is started, queued or refused."""
+        if len(self._line) >= self._bound:
+            return waiting.Outcome(refused=(waiter,))
+        self._line.append(waiter)
+        return self.advance(now)
+
+    def advance(self, now: float) -> waiting.Outcome:
+        """Starts waiting calls while there are slots."""
+        started = []
+        self._pace.advance(self.running, now)
+        while self._line and self.running < self._slots:
+            started.append(self._start(self._line.popleft()))
+        return waiting.Outcome(tuple(started))
+
+
+def choose_any(
+    candidates: list[placement.Candidate],
+    _demand: placement.Demand,
+    random: random_module.Random,
+) -> placement.Candidate | None:
+    """Returns any instance."""
+    return random.choice(candidates) if candidates else None
+
+
+def choose_shortest(
+    candidates: list[placement.Candidate],
+    _demand: placement.Demand,
+    random: random_module.Random,
+) -> placement.Candidate | None:
+    """Returns the instance with the fewest calls for its slots."""
+    if not candidates:
+        return None
+    return min(
+        candidates, key=lambda c: (c.busy / max(1, c.slots), random.random())
+    )
+
+
+def fixed_pause_s(
+    _target_left_s: float,
+    _deadline_left_s: float,
+    _wait_s: float,
+    _uniform: float,
+) -> float:
+    """Returns the same pause for all."""
+    return FIXED_PAUSE_S
+
+
+POLICIES = {
+    policy.name: policy
+    for policy in (
+        model.Policy(
+            "present", placement.choose, waiting.Queue, returns.retry_after_s
+        ),
+        model.Policy("naive", choose_any, PlainQueue, fixed_pause_s),
+        model.Policy(
+            "shortest", choose_shortest, waiting.Queue, returns.retry_after_s
+        ),
+        model.Policy(
+            "plain-queue", placement.choose, PlainQueue, returns.retry_after_s
+        ),
+        model.Policy(
+            "fixed-return", placement.choose, waiting.Queue, fixed_pause_s
+        ),
+    )
+}
--- a/rattangauge/log.py
+++ b/rattangauge/log.py
@@ -6,6 +6,7 @@
 
 import loguru
 
+from rattangauge import decisionlog
 from rattangauge import settings as settings_module
 
 logger = loguru.logger
@@ -51,3 +52,19 @@
         logger.add(sink, level=settings.log.level)
     else:
         logger.add(sink, level=settings.log.level, format=_text_format)
+
+
+def write_to(
+    decisions: decisionlog.DecisionLog, settings: settings_module.Settings
+) -> None:
+    """Directs the logs of the process to the log of decisions."""
+
+    def write(message: Any) -> None:
+        record = message.record
+        text = record["message"]
+        if record["exception"]:
+            text = f"{text}: {record['exception'].value!r}"
+        decisions.message(record["level"].name, text)
+
+    logger.remove()
+    logger.add(write, level=settings.log.level, format="{message}")
--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+import math
 
 from rattangauge.calls import placement
 from rattangauge.generated import messages
@@ -21,12 +22,11 @@
 # An instance that said that it has no room is left alone for this time.
 FULL_S = 0.03
 
-# Weight of a new measurement of the time that calls take at a peer.
-HOLD_WEIGHT = 0.1
-
 # An upstream that failed this share of its late calls counts as ill.
-ILL_SHARE = 0.5
+# Without calls to it that is forgotten, so that it is tried again.
+ILL_SHARE = 0.25
 FAULT_WEIGHT = 0.1
+FAULT_MEMORY_S = 1.0
 
 _USABLE = messages.UpstreamState.SERVING
 
@@ -50,6 +50,7 @@
         self._own_at_load = 0
         self._failures = 0
         self._faults = 0.0
+        self._fault_at = 0.0
         self._paused_until = 0.0
         self._full_until = 0.0
         self._hold_s = 0.0
@@ -69,15 +70,15 @@
         """Tells whether calls to it have just failed."""
         if self._paused_until > now or self._full_until > now:
             return True
-        return self._faults > ILL_SHARE
+        age_s = max(0.0, now - self._fault_at)
+        return self._faults * math.exp(-age_s / FAULT_MEMORY_S) > ILL_SHARE
 
     def report(self, load: messages.Load, now: float) -> None:
         """Takes the load that it reports."""
         self._load = load
         self._load_at = now
         self._own_at_load = self.own
-        if load.service_us:
-            self._hold_s = load.service_us / 1e6
+        self._hold_s = load.service_us / 1e6
         if load.state != self.member.upstream:
             self.member = self.member._replace(upstream=load.state)
 
@@ -96,9 +97,11 @@
         """Notes that it had no room for a call."""
         self._full_until = now + FULL_S
 
-    def observe_answer(self, is_fault: bool) -> None:
+    def observe_answer(self, is_fault: bool, now: float) -> None:
         """Notes whether its upstream failed a call."""
         self._faults += FAULT_WEIGHT * (float(is_fault) - self._faults)
+        if is_fault:
+            self._fault_at = now
 
     def busy(self, now: float) -> int:
         """Returns the calls that run or wait there, as far as known."""
@@ -107,6 +110,10 @@
         total = self._load.running + self._load.queued
         return self.own + max(0, total - self._own_at_load)
 
+    def load_age_s(self, now: float) -> float:
+        """Returns the age of the newest report of its load, in seconds."""
+        return now - self._load_at
+
     def candidate(self, zone: str, now: float) -> placement.Candidate:
         """Returns the peer as one that could take a call."""
         return placement.Candidate(
--- a/rattangauge/net/servers.py
+++ b/rattangauge/net/servers.py
@@ -1,18 +1,14 @@
-"""Listening sockets of the daemon."""
+"""HTTP servers of the daemon."""
 
 import asyncio
 from collections.abc import Callable
 from typing import Any
 
 import anyio
-import anyio.abc
 import hypercorn.asyncio
 import hypercorn.config
-import loguru
 
 from rattangauge import settings as settings_module
-from rattangauge import util
-from rattangauge.net import links as links_module
 
 # hypercorn closes a connection after this many requests.
 REQUESTS_PER_CONNECTION = 1_000_000_000
@@ -79,25 +75,3 @@
     # hypercorn cancels the task that it runs in, so it needs one of its own.
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
-
-
-async def serve_mesh(
-    handler: links_module.Handler, settings: settings_module.Settings
-) -> None:
-    """Serves other daemons until cancelled."""
-    address = util.parse_address(settings.listen.mesh)
-
-    async def serve_one(byte_stream: anyio.abc.SocketStream) -> None:
-        connection = links_module.Connection(
-            byte_stream, settings.mesh.silence_s, handler
-        )
-        try:
-            await connection.run()
-        except OSError as error:
-            loguru.logger.warning("a mesh connection failed: {}", error)
-
-    listener = await anyio.create_tcp_listener(
-        local_host=address.host, local_port=address.port
-    )
-    async with listener:
-        await listener.serve(serve_one)
--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -21,6 +21,7 @@
 from rattangauge.net import join
 from rattangauge.net import keyed as keyed_module
 from rattangauge.net import links as links_module
+from rattangauge.net import meshserver
 from rattangauge.net import operators
 from rattangauge.net import platform
 from rattangauge.net import router as router_module
@@ -118,7 +119,7 @@
         """Runs the daemon until ``stop`` is called."""
         settings = self._settings
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(servers.serve_mesh, self._handle, settings)
+            tasks.start_soon(meshserver.serve_mesh, self._handle, settings)
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._serve_operators)
             tasks.start_soon(self._leave)
--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -4,10 +4,12 @@
 
 import anyio
 
+from rattangauge import decisionlog
 from rattangauge import util
 from rattangauge.calls import exchange
 from rattangauge.calls import waiting
 from rattangauge.generated import errorcodes
+from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.http import client as client_module
 from rattangauge.http import messages as http_messages
@@ -29,9 +31,14 @@
 class Beside:
     """The upstream beside the daemon, with its slots and its queue."""
 
-    def __init__(self, dialect: dialect_module.Dialect) -> None:
+    def __init__(
+        self,
+        dialect: dialect_module.Dialect,
+        log: decisionlog.DecisionLog,
+    ) -> None:
         """Creates the part without an upstream."""
         self._dialect = dialect
+        self._log = log
         self._upstream: heartbeats.Upstream | None = None
         self._client: client_module.Client | None = None
         self._queue = waiting.Queue(0, 0)
@@ -56,11 +63,12 @@
     @property
     def load(self) -> messages.Load:
         """Load of the upstream for the peers."""
+        hold_s = self._queue.measured_hold_s(anyio.current_time())
         return messages.Load(
             running=self._queue.running,
             queued=self._queue.queued,
             limit=self._queue.slots,
-            service_us=int(self._queue.mean_hold_s * 1e6),
+            service_us=int(hold_s * 1e6),
             state=self.state,
         )
 
@@ -92,6 +100,8 @@
     ) -> None:
         self._upstream = after
         told = after.heartbeat
+        if _identity(before) != _identity(after):
+            self._record_change(told)
         is_new = before is None or _process(before) != _process(after)
         if is_new:
             await self._start_over(told)
@@ -99,12 +109,23 @@
         if after.is_leaving and not self._queue.is_closed:
             self._settle(self._queue.close())
 
+    def _record_change(self, told: heartbeats.Heartbeat) -> None:
+        self._log.record(
+            logevents.UpstreamChanged(
+                upstream=told.instance,
+                service=told.service,
+                state=self.state.name.lower(),
+                sequence=told.sequence,
+                slots=told.slots,
+            )
+        )
+
     async def _start_over(self, told: heartbeats.Heartbeat) -> None:
         """Gives a new process of the upstream its own queue and connections."""
         if not self._queue.is_closed:
             self._settle(self._queue.close())
         bound = WAITING_PER_SLOT * told.slots
-        self._queue = waiting.Queue(told.slots, bound)
+        self._queue = waiting.Queue(told.slots, bound, anyio.current_time())
         if self._client is not None:
             await self._client.aclose()
         self._client = client_module.Client(
@@ -127,22 +148,32 @@
         opened = request.open
         upstream, client, queue = self._upstream, self._client, self._queue
         if upstream is None or client is None or upstream.is_leaving:
-            raise self._refusal("the upstream takes no calls")
+            raise self._refusal(request, "the upstream takes no calls")
         if upstream.heartbeat.service != opened.service:
-            raise self._refusal(f"the upstream does not run {opened.service}")
+            text = f"the upstream does not run {opened.service}"
+            raise self._refusal(request, text)
         waiter = self._waiter(request)
-        began = 0.0
-        says_time = False
+        asked = began = anyio.current_time()
+        status = 0
         try:
-            await self._wait(queue, waiter)
+            await self._wait(queue, waiter, request)
             began = anyio.current_time()
             head = await self._exchange(client, upstream, request)
-            says_time = True
+            status = head.status
         finally:
             queue.withdraw(waiter)
             now = anyio.current_time()
-            held_s = now - began if says_time else 0.0
+            held_s = now - began if status else 0.0
             self._settle(queue.finish(waiter, held_s, now))
+        self._log.record(
+            logevents.UpstreamRan(
+                request=self._request_id(request),
+                upstream=upstream.heartbeat.instance,
+                status=status,
+                waited_ms=round((began - asked) * 1000, 1),
+                held_ms=round(held_s * 1000, 1),
+            )
+        )
         await respond(exchange.Response(head._replace(load=self.load), None))
 
     def _waiter(self, request: exchange.Request) -> waiting.Waiter:
@@ -158,7 +189,12 @@
             request.deadline,
         )
 
-    async def _wait(self, queue: waiting.Queue, waiter: waiting.Waiter) -> None:
+    async def _wait(
+        self,
+        queue: waiting.Queue,
+        waiter: waiting.Waiter,
+        request: exchange.Request,
+    ) -> None:
         """Waits for a slot.
 
         Raises:
@@ -173,7 +209,7 @@
         finally:
             del self._turns[waiter.number]
         if turn.is_refused or not turn.decided.is_set():
-            raise self._refusal("the call cannot be served in time")
+            raise self._refusal(request, "the call cannot be served in time")
 
     def _settle(self, outcome: waiting.Outcome) -> None:
         """Tells waiting calls what was decided about them."""
@@ -184,10 +220,29 @@
             turn.is_refused = True
             turn.decided.set()
 
-    def _refusal(self, text: str) -> exchange.CallFailed:
+    def _request_id(self, request: exchange.Request) -> str:
+        for header in request.open.headers:
+            if header.name == self._dialect.request_id:
+                return header.value.decode("latin-1")
+        return ""
+
+    def _refusal(
+        self, request: exchange.Request, text: str
+    ) -> exchange.CallFailed:
+        load = self.load
+        self._log.record(
+            logevents.UpstreamRefused(
+                request=self._request_id(request),
+                reason=text,
+                running=load.running,
+                queued=load.queued,
+                slots=load.limit,
+                hold_ms=round(load.service_us / 1000, 1),
+            )
+        )
         wait_ms = int(self._queue.wait_s() * 1000)
         failure = exchange.not_run(errorcodes.CALL_OVERLOADED, text, wait_ms)
-        failure.load = self.load
+        failure.load = load
         return failure
 
     async def _exchange(
@@ -202,7 +257,7 @@
             with anyio.fail_after(left_s):
                 response = await client.exchange(sent)
         except client_module.NotSentError as error:
-            failure = self._refusal(str(error))
+            failure = self._refusal(request, str(error))
             failure.code = errorcodes.CALL_NO_UPSTREAM
             raise failure from error
         except client_module.BrokenError as error:
@@ -244,7 +299,7 @@
         """
         if response.status == 421 or response.header(self._dialect.not_run):
             failure = exchange.not_run(
-                errorcodes.CALL_NO_UPSTREAM,
+                errorcodes.CALL_UPSTREAM_REFUSED,
                 f"the upstream refused the call with {response.status}",
             )
             failure.load = self.load
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from rattangauge import decisionlog
 from rattangauge import settings as settings_module
 from rattangauge.calls import exchange
 from rattangauge.calls import placement
@@ -15,6 +16,7 @@
 from rattangauge.config import edition as edition_module
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
+from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
@@ -38,16 +40,57 @@
 HEAD_BYTES = 300
 # A caller whose time is shorter by this share of the usual has returned.
 RETURNED_SHARE = 0.04
+SERVER_ERROR = 500
 
 
 class _Call(NamedTuple):
     """A request with everything that was decided about it at the start."""
 
+    request_id: str
     request: exchange.Request
     target: routes.Target
+    received_at: float
     target_at: float
 
 
+class _Progress:
+    """How far a call came, over all its attempts.
+
+    Attributes:
+        tried: Mesh addresses of the instances that had the call.
+        retries: Attempts after the first one that reached an upstream.
+        refusals: Instances that refused the call before their upstream had it.
+        may_have_run: Whether an attempt may have run.
+        was_refused: Whether the last attempt ended in such a refusal.
+        answer: The last answer of an upstream.
+        failure: The last failure.
+    """
+
+    def __init__(self) -> None:
+        self.tried: set[str] = set()
+        self.retries = 0
+        self.refusals = 0
+        self.may_have_run = False
+        self.was_refused = False
+        self.answer: messages.AnswerOpen | None = None
+        self.failure: exchange.CallFailed | None = None
+
+    def take(self, answer: messages.AnswerOpen) -> None:
+        """Takes the answer of an upstream."""
+        self.answer = answer
+        self.was_refused = False
+        self.may_have_run = True
+
+    def fail(self, failure: exchange.CallFailed) -> None:
+        """Takes the failure of an attempt."""
+        self.failure = failure
+        is_not_run = failure.outcome == messages.Outcome.NOT_RUN
+        had_upstream = failure.code == errorcodes.CALL_UPSTREAM_REFUSED
+        self.was_refused = is_not_run and not had_upstream
+        self.refusals += self.was_refused
+        self.may_have_run |= not is_not_run
+
+
 class Dispatch:
     """Routes the requests of callers by the configuration in force."""
 
@@ -58,6 +101,7 @@
         links: links_module.Links,
         peers: peers_module.PeerTable,
         beside: beside_module.Beside,
+        log: decisionlog.DecisionLog,
     ) -> None:
         """Creates the part without a configuration."""
         self._settings = settings
@@ -65,6 +109,7 @@
         self._links = links
         self._peers = peers
         self._beside = beside
+        self._log = log
         self._table: routes.RouteTable | None = None
         self._split = split_module.Split()
         self._budget = retry.Budget(RETRY_SHARE, RETRY_BURST)
@@ -100,18 +145,64 @@
     ) -> http_messages.Response:
         """Answers a request of a caller."""
         if self._table is None:
-            return _refusal(503, "no configuration yet", NOT_READY_S)
+            text = "no configuration is in force yet"
+            failure = exchange.not_run(errorcodes.CALL_NOT_READY, text)
+            return self._deny(request, failure, 503, NOT_READY_S)
         path = request.target.partition("?")[0]
         host = request.header(b"host").decode("latin-1").lower()
         host = host.partition(":")[0]
         target = routes.match(self._table, request.method, path, host)
         if target is None:
-            return _refusal(404, f"no route matches {host} {path}")
+            text = f"no route matches {host} {path}"
+            failure = exchange.not_run(errorcodes.CALL_NO_ROUTE, text)
+            return self._deny(request, failure, 404)
         call = self._call(request, target)
         if call is None:
-            return _refusal(400, "the deadline is not a number")
+            text = "the deadline is not a number"
+            failure = exchange.not_run(errorcodes.CALL_BAD_HEADER, text)
+            return self._deny(request, failure, 400)
+        self._record_begin(call)
         return await self._run(call)
 
+    def _deny(
+        self,
+        request: http_messages.Request,
+        failure: exchange.CallFailed,
+        status: int,
+        retry_after_s: float = 0.0,
+    ) -> http_messages.Response:
+        """Answers a request that does not become a call."""
+        elapsed_s = anyio.current_time() - request.received_at
+        self._log.record(
+            logevents.CallFailed(
+                request=request.header(self._dialect.request_id).decode(
+                    "latin-1"
+                ),
+                version=self.version,
+                route="",
+                status=status,
+                code=failure.code,
+                reason=failure.message,
+                elapsed_ms=_ms(elapsed_s),
+                attempts=0,
+                retry_after_s=retry_after_s,
+            )
+        )
+        return _refusal(status, failure.message, retry_after_s)
+
+    def _record_begin(self, call: _Call) -> None:
+        opened = call.request.open
+        self._log.record(
+            logevents.CallBegun(
+                request=call.request_id,
+                version=opened.version,
+                route=opened.route,
+                service=opened.service,
+                left_ms=int(self._left_s(call) * 1000),
+                returned=opened.returned,
+            )
+        )
+
     def _call(
         self, request: http_messages.Request, target: routes.Target
     ) -> _Call | None:
@@ -145,7 +236,11 @@
         )
         deadline = request.received_at + left_ms / 1000
         return _Call(
-            exchange.Request(opened, None, deadline), target, target_at
+            request.header(self._dialect.request_id).decode("latin-1"),
+            exchange.Request(opened, None, deadline),
+            target,
+            request.received_at,
+            target_at,
         )
 
     def _observe_deadline(self, route: str, caller_ms: int) -> int:
@@ -177,48 +272,54 @@
     async def _run(self, call: _Call) -> http_messages.Response:
         """Runs a call, with retries as far as they are allowed."""
         self._budget.add_call()
-        opened = call.request.open
-        attempts = refusals = 0
-        may_have_run = False
-        tried: set[str] = set()
-        while True:
-            peer = self._choose(call, tried)
-            if peer is None:
-                text = f"no upstream of {opened.service} is known"
-                failure = exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text)
-                break
-            tried.add(peer.member.mesh)
+        progress = _Progress()
+        while (peer := self._choose(call, progress.tried)) is not None:
+            progress.tried.add(peer.member.mesh)
             try:
                 answer = await self._attempt(call, peer)
-            except exchange.CallFailed as error:
-                failure = error
+            except exchange.CallFailed as failure:
+                progress.fail(failure)
             else:
-                if answer.status < 500 or not opened.idempotent:
-                    return _response(answer)
-                if not self._may_retry(call, attempts):
-                    return _response(answer)
-                attempts += 1
-                may_have_run = True
-                continue
-            if failure.outcome != messages.Outcome.NOT_RUN:
-                may_have_run = True
-                if not opened.idempotent:
-                    break
-            if failure.code == errorcodes.CALL_OVERLOADED:
-                refusals += 1
-                if refusals >= MAX_REFUSALS:
+                progress.take(answer)
+                if answer.status < SERVER_ERROR:
                     break
-                continue
-            if not self._may_retry(call, attempts):
+            if not self._may_go_on(call, progress):
                 break
-            attempts += 1
-        return self._failed(call, retry.settle(failure, may_have_run))
+        if progress.answer is not None:
+            self._record_end(call, progress, progress.answer)
+            return _response(progress.answer)
+        return self._failed(call, progress)
+
+    def _record_end(
+        self, call: _Call, progress: _Progress, answer: messages.AnswerOpen
+    ) -> None:
+        elapsed_s = anyio.current_time() - call.received_at
+        self._log.record(
+            logevents.CallEnded(
+                request=call.request_id,
+                version=call.request.open.version,
+                route=call.request.open.route,
+                status=answer.status,
+                elapsed_ms=_ms(elapsed_s),
+                attempts=len(progress.tried),
+            )
+        )
 
-    def _may_retry(self, call: _Call, attempts: int) -> bool:
-        """Tells whether a call may be sent to one more upstream."""
+    def _may_go_on(self, call: _Call, progress: _Progress) -> bool:
+        """Tells whether a call may be sent to one more instance."""
+        if progress.may_have_run and not call.request.open.idempotent:
+            return False
+        if progress.was_refused:
+            return progress.refusals < MAX_REFUSALS
+        return self._may_retry(call, progress)
+
+    def _may_retry(self, call: _Call, progress: _Progress) -> bool:
+        """Tells whether a call may reach one more upstream."""
         left_s = call.request.deadline - anyio.current_time()
-        if attempts >= call.target.policy.retries or left_s < MIN_RETRY_S:
+        allowed = call.target.policy.retries
+        if progress.retries >= allowed or left_s < MIN_RETRY_S:
             return False
+        progress.retries += 1
         return self._budget.take()
 
     def _choose(self, call: _Call, tried: set[str]) -> peers_module.Peer | None:
@@ -234,7 +335,20 @@
         size += int(self._answer_bytes.get(opened.route, HEAD_BYTES))
         demand = placement.Demand(size, call.target_at - now)
         chosen = placement.choose(candidates, demand, self._random)
-        return self._peers.get(chosen.address) if chosen else None
+        peer = self._peers.get(chosen.address) if chosen else None
+        if chosen is not None and peer is not None:
+            self._log.record(
+                logevents.CallPlaced(
+                    request=call.request_id,
+                    peer=chosen.address,
+                    candidates=len(candidates),
+                    busy=chosen.busy,
+                    slots=chosen.slots,
+                    hold_ms=_ms(chosen.hold_s),
+                    load_age_ms=int(peer.load_age_s(now) * 1000),
+                )
+            )
+        return peer
 
     async def _attempt(
         self, call: _Call, peer: peers_module.Peer
@@ -250,11 +364,13 @@
             answers.append(response.open)
 
         peer.own += 1
+        began = anyio.current_time()
         try:
             with anyio.fail_after(self._left_s(call)):
                 await self._send(call, peer, respond)
         except exchange.CallFailed as failure:
             self._note_failure(peer, failure)
+            self._record_failure(call, peer, failure, began)
             raise
         except TimeoutError as error:
             text = "the deadline passed while the call ran"
@@ -263,11 +379,30 @@
             peer.own -= 1
         answer = answers[0]
         peer.reached()
-        peer.observe_answer(answer.status >= 500)
-        peer.report(answer.load, anyio.current_time())
+        now = anyio.current_time()
+        peer.observe_answer(answer.status >= SERVER_ERROR, now)
+        peer.report(answer.load, now)
         self._observe_size(call.request.open.route, len(answer.body))
         return answer
 
+    def _record_failure(
+        self,
+        call: _Call,
+        peer: peers_module.Peer,
+        failure: exchange.CallFailed,
+        began: float,
+    ) -> None:
+        self._log.record(
+            logevents.AttemptFailed(
+                request=call.request_id,
+                peer=peer.member.mesh,
+                code=failure.code,
+                outcome=failure.outcome.name.lower(),
+                reason=failure.message,
+                elapsed_ms=_ms(anyio.current_time() - began),
+            )
+        )
+
     def _left_s(self, call: _Call) -> float:
         return max(0.0, call.request.deadline - anyio.current_time())
 
@@ -300,19 +435,44 @@
         elif failure.code == errorcodes.CALL_OVERLOADED:
             peer.refused(now)
         elif failure.code != errorcodes.CALL_DEADLINE:
-            peer.observe_answer(True)
+            peer.observe_answer(True, now)
 
     def _observe_size(self, route: str, size: int) -> None:
         before = self._answer_bytes.get(route, float(size))
         self._answer_bytes[route] = before + SIZE_WEIGHT * (size - before)
 
     def _failed(
-        self, call: _Call, failure: exchange.CallFailed
+        self, call: _Call, progress: _Progress
     ) -> http_messages.Response:
         """Returns the response for a call without an answer."""
+        failure = progress.failure
+        if failure is None:
+            text = f"no upstream of {call.request.open.service} is known"
+            failure = exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text)
+        failure = retry.settle(failure, progress.may_have_run)
+        status, pause_s = self._verdict(call, failure)
+        self._log.record(
+            logevents.CallFailed(
+                request=call.request_id,
+                version=call.request.open.version,
+                route=call.request.open.route,
+                status=status,
+                code=failure.code,
+                reason=failure.message,
+                elapsed_ms=_ms(anyio.current_time() - call.received_at),
+                attempts=len(progress.tried),
+                retry_after_s=pause_s,
+            )
+        )
+        return _refusal(status, str(failure), pause_s)
+
+    def _verdict(
+        self, call: _Call, failure: exchange.CallFailed
+    ) -> tuple[int, float]:
+        """Returns the status for a failure, and when the caller may return."""
         if failure.outcome != messages.Outcome.NOT_RUN:
             is_late = failure.code == errorcodes.CALL_DEADLINE
-            return _refusal(504 if is_late else 502, str(failure))
+            return (504 if is_late else 502), 0.0
         now = anyio.current_time()
         pause_s = returns.retry_after_s(
             call.target_at - now,
@@ -320,7 +480,11 @@
             failure.retry_after_ms / 1000,
             self._random.random(),
         )
-        return _refusal(503, str(failure), pause_s)
+        return 503, pause_s
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
 
 
 def _response(answer: messages.AnswerOpen) -> http_messages.Response:
@@ -329,10 +493,10 @@
 
 
 def _refusal(
-    status: int, text: str, retry_after_s: float | None = None
+    status: int, text: str, retry_after_s: float = 0.0
 ) -> http_messages.Response:
     headers = [(b"content-type", b"text/plain; charset=utf-8")]
-    if retry_after_s is not None:
+    if retry_after_s:
         headers.append((b"retry-after", b"%g" % retry_after_s))
     return http_messages.Response(
         status, tuple(headers), (text + "\n").encode()
--- a/rattangauge/sidecar/following.py
+++ b/rattangauge/sidecar/following.py
@@ -6,10 +6,12 @@
 import anyio
 import loguru
 
+from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge.config import edition as edition_module
 from rattangauge.config import objects as objects_module
 from rattangauge.generated import errorcodes
+from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import links as links_module
@@ -39,6 +41,7 @@
         peers: peers_module.PeerTable,
         links: links_module.Links,
         use: Use,
+        log: decisionlog.DecisionLog,
     ) -> None:
         """Creates the part without a configuration.
 
@@ -47,11 +50,13 @@
             peers: Peers that may have a newer configuration.
             links: Connections to them.
             use: Puts a configuration in force.
+            log: Log of decisions.
         """
         self._store = store
         self._peers = peers
         self._links = links
         self._use = use
+        self._log = log
         self._current: edition_module.Edition | None = None
         self._random = random_module.Random()
         self._is_reachable: bool | None = None
@@ -115,24 +120,27 @@
             return
         self._is_reachable = is_reachable
         if error is None:
-            loguru.logger.info("the store is reachable")
+            self._log.record(logevents.DependencyRegained("store"))
         else:
-            loguru.logger.warning("the store is lost: {}", error)
+            self._log.record(
+                logevents.DependencyLost("store", error.code, error.message)
+            )
 
     def _take(self, version: int, objects: objects_module.ObjectSet) -> None:
         if version <= self.version:
             return
         data = edition_module.encode(objects)
         digest = edition_module.digest_of(data)
-        self._adopt(edition_module.Edition(version, digest, objects, data))
+        edition = edition_module.Edition(version, digest, objects, data)
+        self._adopt(edition, "store")
 
-    def _adopt(self, edition: edition_module.Edition) -> None:
+    def _adopt(self, edition: edition_module.Edition, source: str) -> None:
+        self._log.record(
+            logevents.ConfigUsed(edition.version, self.version, source)
+        )
         self._current = edition
         self._behind_since = 0.0
         self._use(edition)
-        loguru.logger.bind(version=edition.version).info(
-            "configuration in force"
-        )
 
     async def _follow_peers(self) -> None:
         """Pulls a newer configuration from a peer that has it for a while."""
@@ -163,7 +171,7 @@
             )
             return
         if edition is not None and edition.version > self.version:
-            self._adopt(edition)
+            self._adopt(edition, address)
 
     async def _receive(
         self, address: str, request: messages.EditionRequest
--- a/rattangauge/sidecar/news.py
+++ b/rattangauge/sidecar/news.py
@@ -6,8 +6,10 @@
 import anyio.abc
 import loguru
 
+from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge import settings as settings_module
+from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import links as links_module
@@ -39,6 +41,7 @@
         links: links_module.Links,
         beside: beside_module.Beside,
         following: following_module.Following,
+        log: decisionlog.DecisionLog,
     ) -> None:
         """Creates the part; ``run`` starts it."""
         self._settings = settings
@@ -47,6 +50,7 @@
         self._links = links
         self._beside = beside
         self._following = following
+        self._log = log
         self._changed = anyio.Event()
         self._told: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -161,7 +165,7 @@
                 version = max(reply.version, peer.member.version)
                 peer.member = peer.member._replace(version=version)
             if peer.failures:
-                loguru.logger.info("peer {} is reached again", address)
+                self._log.record(logevents.DependencyRegained(address))
             peer.reached()
         return True
 
@@ -170,7 +174,9 @@
         if peer is None:
             return
         if not peer.failures:
-            loguru.logger.warning("peer {} is lost: {}", address, error)
+            self._log.record(
+                logevents.DependencyLost(address, error.code, error.message)
+            )
         peer.failed(anyio.current_time())
 
     async def _follow_directory(self) -> None:
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -1,6 +1,5 @@
 """Wires the parts of the daemon beside one upstream together."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import signal
 
@@ -9,10 +8,10 @@
 import loguru
 import prometheus_client
 
+from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge import settings as settings_module
 from rattangauge import util
-from rattangauge.config import edition as edition_module
 from rattangauge.generated import messages
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
@@ -20,7 +19,7 @@
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import forward
 from rattangauge.net import links as links_module
-from rattangauge.net import servers
+from rattangauge.net import meshserver
 from rattangauge.sidecar import beside as beside_module
 from rattangauge.sidecar import dialect as dialect_module
 from rattangauge.sidecar import dispatch as dispatch_module
@@ -37,6 +36,8 @@
 
 # Reads a request of the upstream.
 ReadHeartbeat = Callable[[http_messages.Request], Told]
+# Reads the settings again.
+Reload = Callable[[], None]
 
 
 class Node:
@@ -48,6 +49,7 @@
         dialect: dialect_module.Dialect,
         store: stores.Store,
         read_heartbeat: ReadHeartbeat,
+        log: decisionlog.DecisionLog,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Creates the parts of a daemon; ``run`` starts them."""
@@ -55,12 +57,12 @@
         self._read_heartbeat = read_heartbeat
         self._links = links_module.Links(settings, tasks)
         self._peers = peers_module.PeerTable(_own_record(settings))
-        self._beside = beside_module.Beside(dialect)
+        self._beside = beside_module.Beside(dialect, log)
         self._dispatch = dispatch_module.Dispatch(
-            settings, dialect, self._links, self._peers, self._beside
+            settings, dialect, self._links, self._peers, self._beside, log
         )
         self._following = following_module.Following(
-            store, self._peers, self._links, self._use
+            store, self._peers, self._links, self._dispatch.use, log
         )
         self._news = news_module.News(
             settings,
@@ -69,20 +71,20 @@
             self._links,
             self._beside,
             self._following,
+            log,
         )
         self._callers = server_module.Server(
             self._dispatch.handle, lambda: self._dispatch.limits
         )
         self._stopping = anyio.Event()
 
-    def _use(self, edition: edition_module.Edition) -> None:
-        self._dispatch.use(edition)
-
     async def run(self) -> None:
         """Runs the daemon until ``stop`` is called and its calls have ended."""
         listen = self._settings.listen
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(servers.serve_mesh, self._handle, self._settings)
+            tasks.start_soon(
+                meshserver.serve_mesh, self._handle, self._settings
+            )
             await _serve(tasks, listen.callers, self._callers)
             await _serve(tasks, listen.ready, self._server(self._ready))
             await _serve(tasks, listen.control, self._server(self._control))
@@ -150,9 +152,6 @@
         else:
             is_news = await self._beside.take_departure(told)
         if is_news:
-            loguru.logger.bind(state=self._beside.state.name).info(
-                "the upstream has changed: {}", told
-            )
             self._news.refresh()
         headers = ((b"content-type", b"application/json"),)
         return http_messages.Response(200, headers, b"{}")
@@ -188,27 +187,42 @@
     tasks.start_soon(server.serve, listener)
 
 
-async def _stop_on_signal(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+async def _follow_signals(node: Node, reload: Reload) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
         async for number in signals:
+            if number == signal.SIGHUP:
+                reload()
+                continue
             loguru.logger.info(
                 "shutting down on {}", signal.Signals(number).name
             )
             node.stop()
 
 
-StoreContext = Callable[[settings_module.Settings], Awaitable[stores.Store]]
-
-
 async def run(
     settings: settings_module.Settings,
     dialect: dialect_module.Dialect,
     store: stores.Store,
     read_heartbeat: ReadHeartbeat,
+    log: decisionlog.DecisionLog,
+    reload: Reload,
 ) -> None:
-    """Runs a daemon until it is told to stop by a signal."""
+    """Runs a daemon until it is told to stop by a signal.
+
+    Args:
+        settings: Settings of the daemon.
+        dialect: Names of the headers.
+        store: The platform's store.
+        read_heartbeat: Reads a request of the upstream to the control address.
+        log: Log of decisions.
+        reload: Reads the settings again, at SIGHUP.
+    """
     async with anyio.create_task_group() as tasks:
-        node = Node(settings, dialect, store, read_heartbeat, tasks)
-        tasks.start_soon(_stop_on_signal, node)
+        tasks.start_soon(log.run)
+        node = Node(settings, dialect, store, read_heartbeat, log, tasks)
+        tasks.start_soon(_follow_signals, node, reload)
         await node.run()
         tasks.cancel_scope.cancel()
+    log.flush()
--- /dev/null
+++ b/standins/appworker.py
@@ -0,0 +1,73 @@
+"""A stand-in for an upstream of the users' platform."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from rattangauge.http import messages
+from rattangauge.http import server as server_module
+
+SEAL = (b"server-seal", b"stand-in")
+
+Behaviour = Callable[[messages.Request], Awaitable[messages.Response]]
+
+
+def sealed(
+    request: messages.Request, body: bytes = b"served", status: int = 200
+) -> messages.Response:
+    """Returns the response of an upstream that ran a request."""
+    identity = (b"request-id", request.header(b"request-id"))
+    return messages.Response(status, (identity, SEAL), body)
+
+
+def not_run(status: int = 503) -> messages.Response:
+    """Returns the response of an upstream that did not run a request."""
+    return messages.Response(status, ((b"not-executed", b"1"),))
+
+
+class AppWorker:
+    """Runs requests and remembers them.
+
+    Attributes:
+        arrived: Requests in the order of their arrival.
+        running: Requests that run now.
+        peak: Most requests that ran at a time.
+        cancelled: Requests whose connection ended while they ran.
+        behaviour: What it does with a request.
+    """
+
+    def __init__(self, work_s: float = 0.0) -> None:
+        """Creates an upstream whose requests take a time."""
+        self.arrived: list[messages.Request] = []
+        self.running = 0
+        self.peak = 0
+        self.cancelled = 0
+        self.address = ""
+        self._work_s = work_s
+        self.behaviour: Behaviour = self._work
+
+    async def _work(self, request: messages.Request) -> messages.Response:
+        await anyio.sleep(self._work_s)
+        return sealed(request)
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
+        self.arrived.append(request)
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        is_whole = False
+        try:
+            response = await self.behaviour(request)
+            is_whole = True
+            return response
+        finally:
+            self.running -= 1
+            self.cancelled += not is_whole
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts to serve on a free port of the loopback address."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        tasks.start_soon(server_module.Server(self._handle).serve, listener)
--- /dev/null
+++ b/standins/objectstore.py
@@ -0,0 +1,138 @@
+"""A stand-in for the metadata store of the users' platform, over HTTP."""
+
+import json
+from typing import Any
+import urllib.parse
+
+import anyio
+import anyio.abc
+
+from rattangauge.http import messages
+from rattangauge.http import server as server_module
+
+_JSON = ((b"content-type", b"application/json"),)
+
+
+def _reply(status: int, table: Any = None) -> messages.Response:
+    return messages.Response(status, _JSON, json.dumps(table).encode())
+
+
+class ObjectStore:
+    """Objects by kind and name with one revision counter.
+
+    Attributes:
+        calls: Calls as method and target, in the order of their arrival.
+        refuse_with: Status of all answers while the store is down; 0 if it is
+            up.
+        is_silent: Whether calls get no answer.
+        loses_answers: Whether writes are done and not answered.
+    """
+
+    def __init__(self) -> None:
+        """Creates an empty store."""
+        self.calls: list[str] = []
+        self.refuse_with = 0
+        self.is_silent = False
+        self.loses_answers = False
+        self.address = ""
+        self._revision = 1
+        self._oldest = 0
+        self._objects: dict[str, dict[str, Any]] = {}
+        self._history: list[tuple[int, str, dict[str, Any]]] = []
+        self._changed = anyio.Event()
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts to serve on a free port of the loopback address."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        tasks.start_soon(server_module.Server(self._handle).serve, listener)
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object."""
+        self._revision += 1
+        metadata = {"name": name, "revision": self._revision}
+        item = {"metadata": metadata, "spec": spec, "status": None}
+        self._objects.setdefault(kind, {})[name] = item
+        event = {"object": item, "deleted": False}
+        self._history.append((self._revision, kind, event))
+        self._notify()
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of the objects of a kind."""
+        return sorted(self._objects.get(kind, {}))
+
+    def delete(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self._revision += 1
+            event = {"object": item, "deleted": True}
+            self._history.append((self._revision, kind, event))
+            self._notify()
+
+    def compact(self) -> None:
+        """Forgets the history."""
+        self._oldest = self._revision
+        self._history.clear()
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
+        self.calls.append(f"{request.method} {request.target}")
+        if self.is_silent:
+            await anyio.sleep_forever()
+        if self.refuse_with:
+            return _reply(self.refuse_with)
+        path, _, text = request.target.partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        parts = path.strip("/").split("/")
+        if request.method == "GET" and "watch" in query:
+            return await self._watch(parts[1], query)
+        response = self._answer(request, parts)
+        if self.loses_answers and request.method != "GET":
+            await anyio.sleep_forever()
+        return response
+
+    def _answer(
+        self, request: messages.Request, parts: list[str]
+    ) -> messages.Response:
+        kind = parts[1]
+        if request.method == "GET":
+            items = list(self._objects.get(kind, {}).values())
+            table = {"items": items, "more": False}
+            return _reply(200, {**table, "store-revision": self._revision})
+        if request.method == "DELETE":
+            self.delete(kind, parts[2])
+            return _reply(200)
+        body = json.loads(request.body)
+        name = body["metadata"]["name"]
+        if request.method == "POST" and name in self._objects.get(kind, {}):
+            return _reply(409, self._objects[kind][name])
+        self.put(kind, name, body["spec"])
+        return _reply(200, self._objects[kind][name])
+
+    async def _watch(
+        self, kind: str, query: dict[str, str]
+    ) -> messages.Response:
+        since = int(query["watch"])
+        wait_s = int(query.get("wait-ms", "0")) / 1000
+        deadline = anyio.current_time() + wait_s
+        while True:
+            if since < self._oldest:
+                return _reply(410)
+            events = [
+                event
+                for revision, of_kind, event in self._history
+                if revision > since and of_kind == kind
+            ]
+            changed = self._changed
+            left_s = deadline - anyio.current_time()
+            if events or left_s <= 0.0:
+                table = {"events": events, "store-revision": self._revision}
+                return _reply(200, table)
+            with anyio.move_on_after(left_s):
+                await changed.wait()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,10 +2,14 @@
 
 from typing import Any
 
+from rattangauge import util
+from rattangauge.calls import placement
+from rattangauge.calls import waiting
 from rattangauge.config import edition as edition_module
 from rattangauge.config import objects as objects_module
 from rattangauge.generated import messages
 from rattangauge.generated import objects as generated
+from rattangauge.membership import heartbeats
 
 SERVICES = ("skladby", "objednavky", "nahravky")
 
@@ -50,3 +54,53 @@
     """Returns the digest and the data of an encoded set, unchecked."""
     data = edition_module.encode(objects)
     return edition_module.digest_of(data), data
+
+
+def waiter(number: int, **fields: Any) -> waiting.Waiter:
+    """Returns a call that wants a slot."""
+    values = {
+        "kind": "track-play",
+        "priority": 5,
+        "returned": False,
+        "target_at": 0.0,
+        "deadline": 1.0,
+    }
+    return waiting.Waiter(number, **{**values, **fields})
+
+
+def candidate(address: str, **fields: Any) -> placement.Candidate:
+    """Returns an idle instance of the own zone."""
+    values = {
+        "is_local": True,
+        "is_ill": False,
+        "busy": 0,
+        "slots": 9,
+        "hold_s": 0.05,
+    }
+    return placement.Candidate(address, **{**values, **fields})
+
+
+def heartbeat(instance: str = "i-1", **fields: Any) -> heartbeats.Heartbeat:
+    """Returns a heartbeat of an upstream that serves."""
+    values = {
+        "started_ms": 1000,
+        "sequence": 1,
+        "service": "skladby",
+        "address": util.Address("127.0.0.1", 8080),
+        "slots": 9,
+        "is_draining": False,
+        "cold_left_s": 0.0,
+    }
+    return heartbeats.Heartbeat(instance, **{**values, **fields})
+
+
+def load(**fields: Any) -> messages.Load:
+    """Returns the load of an upstream that serves."""
+    values = {"limit": 9, "state": messages.UpstreamState.SERVING}
+    return messages.Load(**{**values, **fields})
+
+
+def news(mesh: str, **fields: Any) -> messages.PeerNews:
+    """Returns the news of a daemon whose upstream serves."""
+    told = member(mesh, mesh=mesh, **fields)
+    return messages.PeerNews(told, load(state=told.upstream))
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,217 @@
+"""Tests of the HTTP client towards an upstream, byte by byte."""
+
+import contextlib
+import socket
+import struct
+
+import anyio
+import pytest
+
+from rattangauge import util
+from rattangauge.http import client as client_module
+from rattangauge.http import messages
+
+OWN = b"Request-Id: own\r\n"
+OK = b"HTTP/1.1 200 OK\r\n" + OWN + b"Content-Length: 2\r\n\r\nok"
+OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nContent-Length: 2\r\n\r\nno"
+
+
+def request(body=b"", method="GET"):
+    headers = [(b"host", b"a"), (b"request-id", b"own")]
+    if body:
+        headers.append((b"content-length", b"%d" % len(body)))
+    return messages.Request(method, "/", tuple(headers), body)
+
+
+def reset(stream):
+    """Resets a connection."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+@contextlib.asynccontextmanager
+async def scripted(script):
+    """Yields a client of an upstream that follows a script; counts accepts."""
+    accepted = []
+
+    async def serve(stream):
+        accepted.append(stream)
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                await script(stream, len(accepted))
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    client = client_module.Client(
+        util.Address("127.0.0.1", port), b"request-id"
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        yield client, accepted
+        tasks.cancel_scope.cancel()
+
+
+async def answer_each(stream, _number, data=OK):
+    while True:
+        await stream.receive()
+        await stream.send(data)
+
+
+async def test_a_connection_serves_many_requests():
+    async with scripted(answer_each) as (client, accepted):
+        for _ in range(5):
+            response = await client.exchange(request())
+            assert response.body == b"ok"
+        assert len(accepted) == 1
+
+
+async def test_a_response_to_another_request_is_skipped():
+    """Guards against a caller that receives another caller's answer."""
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(OTHER + OK)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, _accepted):
+        assert (await client.exchange(request())).body == b"ok"
+
+
+async def test_an_extra_response_ends_the_use_of_the_connection():
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(OK + OTHER)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, accepted):
+        for _ in range(2):
+            assert (await client.exchange(request())).body == b"ok"
+        assert len(accepted) == 2
+
+
+async def test_a_late_extra_response_ends_the_use_of_an_idle_connection():
+    async def script(stream, number):
+        await stream.receive()
+        await stream.send(OK)
+        if number == 1:
+            await anyio.sleep(0.05)
+            await stream.send(OTHER)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, accepted):
+        await client.exchange(request())
+        await anyio.sleep(0.15)
+        assert (await client.exchange(request())).body == b"ok"
+        assert len(accepted) == 2
+
+
+async def test_an_idle_connection_that_ended_is_not_used():
+    """Guards against a call whose outcome is unknown without need."""
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(OK)
+
+    async with scripted(script) as (client, accepted):
+        for _ in range(3):
+            await client.exchange(request(b"order", "POST"))
+            await anyio.sleep(0.05)
+        assert len(accepted) == 3
+
+
+async def test_the_upstreams_keep_alive_is_respected():
+    data = OK.replace(OWN, OWN + b"Keep-Alive: timeout=1\r\n")
+
+    async def script(stream, number):
+        await answer_each(stream, number, data)
+
+    async with scripted(script) as (client, accepted):
+        for _ in range(2):
+            await client.exchange(request())
+        assert len(accepted) == 2
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\n" + OWN + b"Content-Length: 9\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\n"
+        + OWN
+        + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"nonsense\r\n\r\n",
+        b"",
+        OTHER,
+    ],
+)
+async def test_a_response_that_is_not_whole_is_no_response(data):
+    """Guards against a part of an answer that looks whole."""
+
+    async def script(stream, _number):
+        await stream.receive()
+        if data:
+            await stream.send(data)
+
+    async with scripted(script) as (client, _accepted):
+        with pytest.raises(client_module.BrokenError):
+            await client.exchange(request())
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_a_response_without_a_length_is_whole_only_at_a_clean_end(
+    is_reset,
+):
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(b"HTTP/1.1 200 OK\r\n" + OWN + b"\r\nhalf")
+        await anyio.sleep(0.05)
+        if is_reset:
+            reset(stream)
+
+    async with scripted(script) as (client, _accepted):
+        if is_reset:
+            with pytest.raises(client_module.BrokenError):
+                await client.exchange(request())
+        else:
+            assert (await client.exchange(request())).body == b"half"
+
+
+async def test_an_upstream_that_answers_early_gets_no_other_bytes():
+    """Guards against a request inside the body of another one."""
+
+    async def script(stream, number):
+        await stream.receive()
+        await stream.send(OK)
+        if number == 1:
+            await anyio.sleep(5)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, accepted):
+        body = b"a" * 20_000_000
+        await client.exchange(request(body, "POST"))
+        await client.exchange(request())
+        assert len(accepted) == 2
+
+
+async def test_an_upstream_that_cannot_be_reached_has_not_run_the_call():
+    client = client_module.Client(util.Address("127.0.0.1", 1), b"request-id")
+    with pytest.raises(client_module.NotSentError):
+        await client.exchange(request())
+
+
+async def test_a_cancelled_call_closes_its_connection():
+    ended = anyio.Event()
+
+    async def script(stream, _number):
+        try:
+            while True:
+                await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            ended.set()
+
+    async with scripted(script) as (client, _accepted):
+        with anyio.move_on_after(0.1):
+            await client.exchange(request())
+        with anyio.fail_after(1):
+            await ended.wait()
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,200 @@
+"""Tests of the HTTP server, byte by byte."""
+
+import contextlib
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rattangauge.http import messages
+from rattangauge.http import server as server_module
+
+LIMITS = server_module.Limits(
+    header_bytes=2000, body_bytes=5000, header_s=0.3, idle_s=0.3, body_s=0.3
+)
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, limits=LIMITS):
+    """Yields a server and a function that connects to it."""
+    server = server_module.Server(handler, lambda: limits)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+    async def connect():
+        return await anyio.connect_tcp("127.0.0.1", port)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, listener)
+        yield server, connect
+        tasks.cancel_scope.cancel()
+
+
+async def echo(request):
+    """Answers with what was asked."""
+    text = f"{request.method} {request.target} {len(request.body)}"
+    return messages.Response(200, (), text.encode())
+
+
+async def read_all(stream):
+    """Reads until the connection ends."""
+    data = b""
+    with anyio.fail_after(3), contextlib.suppress(anyio.EndOfStream):
+        while True:
+            data += await stream.receive()
+    return data
+
+
+async def exchange(data, handler=echo):
+    async with serving(handler) as (_server, connect):
+        stream = await connect()
+        await stream.send(data)
+        return await read_all(stream)
+
+
+async def test_requests_sent_ahead_are_answered_in_order():
+    async def slow_first(request):
+        await anyio.sleep(0.1 if request.target == "/1" else 0)
+        return await echo(request)
+
+    data = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % number for number in (1, 2, 3)
+    )
+    answer = await exchange(data, slow_first)
+    places = [answer.index(b"GET /%d 0" % number) for number in (1, 2, 3)]
+    assert places == sorted(places)
+
+
+async def test_a_body_in_chunks_is_whole():
+    answer = await exchange(
+        b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    assert b"POST /a 5" in answer
+
+
+async def test_a_caller_that_waits_for_100_continue_is_told_to_go_on():
+    async with serving(echo) as (_server, connect):
+        stream = await connect()
+        await stream.send(
+            b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        assert (await stream.receive()).startswith(b"HTTP/1.1 100 ")
+        await stream.send(b"abc")
+        assert b"POST /a 3" in await read_all(stream)
+
+
+@pytest.mark.parametrize(
+    "head, status",
+    [
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6000\r\n\r\n", 413),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabc",
+            400,
+        ),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nA: " + b"a" * 3000 + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nA: " + b"a" * 99_000, 431),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n A: 1\r\n\x00\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHo", 408),
+    ],
+)
+async def test_requests_that_exceed_limits_are_refused(head, status):
+    """Guards against smuggled requests and against header bombs."""
+    handled = []
+
+    async def handler(request):
+        handled.append(request)
+        return await echo(request)
+
+    answer = await exchange(head, handler)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert not handled
+
+
+async def test_a_body_in_chunks_beyond_the_limit_is_refused():
+    chunk = b"1000\r\n" + b"a" * 4096 + b"\r\n"
+    answer = await exchange(
+        b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + 3 * chunk
+    )
+    assert answer.startswith(b"HTTP/1.1 413 ")
+
+
+async def test_an_idle_connection_is_closed():
+    async with serving(echo) as (_server, connect):
+        assert await read_all(await connect()) == b""
+
+
+async def test_a_caller_that_leaves_cancels_its_call():
+    """Guards against work for callers that have gone."""
+    cancelled = anyio.Event()
+
+    async def wait(_request):
+        try:
+            await anyio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    async with serving(wait) as (server, connect):
+        stream = await connect()
+        await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await anyio.sleep(0.05)
+        assert server.busy == 1
+        await stream.aclose()
+        with anyio.fail_after(1):
+            await cancelled.wait()
+
+
+async def test_a_closing_server_ends_its_connections():
+    async with serving(echo) as (server, connect):
+        stream = await connect()
+        server.close_connections()
+        await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = (await read_all(stream)).lower()
+        assert b"connection: close" in answer
+
+
+async def test_held_bodies_are_counted_while_they_arrive():
+    async with serving(echo) as (server, connect):
+        stream = await connect()
+        await stream.send(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabcd"
+        )
+        await anyio.sleep(0.05)
+        assert server.held_bytes == 4
+        await stream.send(b"efghij")
+        assert b"POST / 10" in await read_all(stream)
+        assert server.held_bytes == 0
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(
+    data=strategies.binary(max_size=200)
+    | strategies.from_regex(rb"(GET|POST) /[a-z]* HTTP/1.[01]\r\n([A-Z]: .*)?")
+)
+def test_any_bytes_leave_the_server_at_work(data):
+    """Guards against bytes that end the daemon."""
+
+    async def run():
+        limits = LIMITS._replace(header_s=0.02, idle_s=0.02, body_s=0.02)
+        async with serving(echo, limits) as (_server, connect):
+            stream = await connect()
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(data)
+                await stream.send_eof()
+                await read_all(stream)
+            again = await connect()
+            await again.send(b"GET /again HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b"GET /again 0" in await again.receive()
+
+    anyio.run(run)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,105 @@
+"""Tests of what a daemon knows of its peers."""
+
+from rattangauge.generated import messages
+from rattangauge.membership import peers
+from tests import builders
+
+OTHER = "127.0.1.2:7000"
+
+
+def table_with(**fields):
+    table = peers.PeerTable(builders.member("own"))
+    table.take(builders.news(OTHER, **fields), 1.0)
+    return table
+
+
+def test_a_peer_that_serves_is_a_candidate():
+    table = table_with()
+    assert {p.member.mesh for p in table.serving("skladby")} == {
+        "127.0.1.1:7000",
+        OTHER,
+    }
+    assert table.serving("nahravky") == []
+
+
+def test_a_peer_that_leaves_is_none():
+    """Guards against new work for an upstream that drains."""
+    for fields in (
+        {"upstream": messages.UpstreamState.DRAINING},
+        {"state": messages.MemberState.LEFT},
+    ):
+        table = table_with(**fields)
+        assert OTHER not in {p.member.mesh for p in table.serving("skladby")}
+
+
+def test_an_answer_tells_that_an_upstream_drains():
+    table = table_with()
+    draining = messages.Load(state=messages.UpstreamState.DRAINING)
+    table.get(OTHER).report(draining, 2.0)
+    assert len(table.serving("skladby")) == 1
+
+
+def test_older_news_of_the_same_process_change_nothing():
+    table = table_with(counter=5)
+    table.take(builders.news(OTHER, counter=4, slots=77), 2.0)
+    assert table.get(OTHER).member.slots == 9
+
+
+def test_a_new_process_starts_without_history():
+    table = table_with(incarnation=5)
+    table.get(OTHER).own = 3
+    assert table.take(builders.news(OTHER, incarnation=6), 2.0)
+    assert table.get(OTHER).own == 0
+
+
+def test_a_process_whose_clock_is_behind_replaces_a_lost_one():
+    """Guards against a peer that stays unknown after a clock step."""
+    table = table_with(incarnation=5)
+    earlier = builders.news(OTHER, incarnation=4)
+    assert not table.take(earlier, 2.0)
+    table.get(OTHER).failed(2.0)
+    assert table.take(earlier, 2.0)
+
+
+def test_the_load_of_others_is_counted_beside_the_own():
+    peer = table_with().get(OTHER)
+    peer.own = 2
+    peer.report(builders.load(running=5, queued=1), 1.0)
+    peer.own = 4
+    assert peer.busy(1.1) == 8
+
+
+def test_an_old_load_is_worth_nothing():
+    peer = table_with().get(OTHER)
+    peer.report(builders.load(running=9), 1.0)
+    assert peer.busy(1.0 + peers.LOAD_S + 0.1) == 0
+
+
+def test_a_failed_peer_is_left_alone_for_a_while():
+    peer = table_with().get(OTHER)
+    peer.failed(1.0)
+    assert peer.is_ill(1.1)
+    assert not peer.is_ill(1.0 + peers.PAUSE_S + 0.01)
+    peer.failed(2.0)
+    peer.reached()
+    assert not peer.is_ill(2.1)
+
+
+def test_an_upstream_that_fails_its_calls_is_ill_until_it_serves_again():
+    """Guards against an upstream that fails calls while its health is good."""
+    peer = table_with().get(OTHER)
+    for _ in range(8):
+        peer.observe_answer(True, 9.0)
+    assert peer.is_ill(9.1)
+    for _ in range(9):
+        peer.observe_answer(False, 9.2)
+    assert not peer.is_ill(9.2)
+
+
+def test_an_ill_upstream_is_tried_again():
+    """Guards against an upstream that is never measured again."""
+    peer = table_with().get(OTHER)
+    for _ in range(30):
+        peer.observe_answer(True, 9.0)
+    assert peer.is_ill(9.1)
+    assert not peer.is_ill(9.0 + 3 * peers.FAULT_MEMORY_S)
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,117 @@
+"""Tests of the commands that read the logs of the daemons."""
+
+import json
+
+from rattangauge import cmdline
+from rattangauge.commands import output
+from tests import meshes
+
+
+def lines(*events):
+    return "".join(json.dumps(event) + "\n" for event in events)
+
+
+def event(name, request="q1", time="2026-12-04T10:00:00.1", **fields):
+    place = {"instance": "a", "zone": "zone-1", "request": request}
+    return {"time": time, "level": "INFO", "event": name, **place, **fields}
+
+
+REFUSED = event(
+    "call_failed",
+    version=4,
+    route="r-track",
+    status=503,
+    code="call.overloaded",
+    reason="the call cannot be served in time",
+    attempts=2,
+)
+
+
+def test_the_way_of_a_request_is_printed_with_its_cause(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text(
+        lines(REFUSED, event("call_begun"), event("call_begun", "other"))
+    )
+    assert cmdline.run(["trace", "q1", str(path)]) == output.EXIT_OK
+    printed = capsys.readouterr().out.splitlines()
+    assert [line.split()[2] for line in printed[:2]] == [
+        "call_begun",
+        "call_failed",
+    ]
+    assert "no upstream had room in time" in printed[-1]
+    assert "version 4" in printed[-1]
+
+
+def test_a_request_that_no_log_names_has_an_exit_code(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text(lines(REFUSED))
+    assert cmdline.run(["trace", "nobody", str(path)]) == output.EXIT_NOT_FOUND
+    assert "no line of the logs" in capsys.readouterr().out
+
+
+def test_foreign_and_truncated_lines_are_counted(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    cut = lines(REFUSED)[:40]
+    path.write_text("hello\n" + cut + "\n[]\n" + lines(REFUSED))
+    assert cmdline.run(["trace", "q1", str(path)]) == output.EXIT_OK
+    assert "3 lines are not" in capsys.readouterr().err
+
+
+def test_lines_that_the_daemons_left_out_are_told(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text(
+        lines(event("lines_dropped", "", dropped="call_ended=7 message=2"))
+    )
+    cmdline.run(["trace", "q1", str(path)])
+    assert "left out 9 lines" in capsys.readouterr().err
+
+
+def test_a_file_that_cannot_be_read_is_told(tmp_path, capsys):
+    missing = str(tmp_path / "missing.log")
+    code = cmdline.run(["trace", "q1", missing])
+    assert code == output.EXIT_UNAVAILABLE
+    assert "missing.log" in capsys.readouterr().err
+
+
+def test_json_has_the_lines_and_the_cause(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text(lines(REFUSED))
+    cmdline.run(["trace", "q1", str(path), "--json"])
+    table = json.loads(capsys.readouterr().out)
+    assert table["lines"][0]["event"] == "call_failed"
+    assert "no upstream had room" in table["cause"]
+
+
+def test_failures_are_counted_by_cause(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    late = {**REFUSED, "code": "call.deadline", "status": 504}
+    path.write_text(lines(REFUSED, REFUSED, late))
+    assert cmdline.run(["why", str(path)]) == output.EXIT_OK
+    first, second = capsys.readouterr().out.splitlines()
+    assert first.split()[:2] == ["2", "503"]
+    assert second.split()[:2] == ["1", "504"]
+
+
+async def test_the_log_of_a_mesh_explains_a_lost_answer(tmp_path, capsys):
+    """Guards against a failed request that the log does not explain."""
+
+    async def lose(_request):
+        raise RuntimeError("the answer is lost")
+
+    async with meshes.running() as mesh:
+        mesh.publish([meshes.path("/order/", "skladby", kind="unsafe")])
+        place = await mesh.add("a")
+        await mesh.wait_ready()
+        await mesh.heartbeats()
+        place.worker.behaviour = lose
+        status, _headers, _body = await mesh.call(
+            "a", "/order/1", "POST", request_id="lost-1"
+        )
+        assert status == 502
+        place.log.flush()
+        path = tmp_path / "a.log"
+        path.write_bytes(place.written)
+    assert cmdline.run(["trace", "lost-1", str(path)]) == output.EXIT_OK
+    printed = capsys.readouterr().out
+    assert "call_placed" in printed
+    assert "the upstream sent no whole answer" in printed
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,133 @@
+"""Tests of the queue beside an upstream."""
+
+import pytest
+
+from rattangauge.calls import waiting
+from tests import builders
+
+SLOTS = 2
+BOUND = 8
+
+
+def queue_with_running(count, hold_s=0.1):
+    """Returns a queue whose calls hold a slot for a known time."""
+    queue = waiting.Queue(SLOTS, BOUND)
+    now = 0.0
+    for number in range(40):
+        known = builders.waiter(-number - 1, deadline=now + 9)
+        queue.offer(known, now)
+        now += hold_s
+        queue.finish(known, hold_s, now)
+    for number in range(count):
+        waiter = builders.waiter(number, deadline=now + 9)
+        assert queue.offer(waiter, now).started == (waiter,)
+    return queue, now
+
+
+def test_a_call_starts_while_there_are_slots():
+    queue, now = queue_with_running(SLOTS)
+    late = builders.waiter(99, target_at=now + 5, deadline=now + 9)
+    assert queue.offer(late, now) == waiting.Outcome()
+    assert (queue.running, queue.queued) == (SLOTS, 1)
+
+
+def test_the_mean_hold_time_follows_the_calls():
+    queue, _now = queue_with_running(0, hold_s=0.1)
+    assert queue.mean_hold_s == pytest.approx(0.1, rel=0.15)
+
+
+def test_an_upstream_that_stalls_shows_before_its_calls_end():
+    """Guards against sending more to an upstream whose calls do not end."""
+    queue, now = queue_with_running(SLOTS)
+    before_s = queue.mean_hold_s
+    queue.advance(now)
+    probe = builders.waiter(50, deadline=now + 9)
+    queue.offer(probe, now + 1.0)
+    assert queue.mean_hold_s > 2 * before_s
+
+
+def test_the_higher_priority_is_served_first():
+    queue, now = queue_with_running(SLOTS)
+    low = builders.waiter(10, priority=2, deadline=now + 9)
+    high = builders.waiter(11, priority=8, deadline=now + 9)
+    queue.offer(low, now)
+    queue.offer(high, now)
+    first = builders.waiter(0, deadline=0)
+    assert queue.finish(first, 0.1, now).started == (high,)
+
+
+def test_a_caller_that_came_back_goes_before_new_ones():
+    """Guards against refusing the same caller twice."""
+    queue, now = queue_with_running(SLOTS)
+    fresh = builders.waiter(10, deadline=now + 9)
+    returned = builders.waiter(11, returned=True, deadline=now + 9)
+    queue.offer(fresh, now)
+    queue.offer(returned, now)
+    first = builders.waiter(0, deadline=0)
+    assert queue.finish(first, 0.1, now).started == (returned,)
+
+
+def test_a_new_call_that_would_miss_its_target_is_refused_at_once():
+    queue, now = queue_with_running(SLOTS, hold_s=0.1)
+    hasty = builders.waiter(10, target_at=now + 0.13, deadline=now + 9)
+    assert queue.offer(hasty, now).refused == (hasty,)
+
+
+def test_a_returned_call_waits_up_to_its_deadline():
+    queue, now = queue_with_running(SLOTS, hold_s=0.1)
+    returned = builders.waiter(
+        10, returned=True, target_at=now + 0.13, deadline=now + 1.0
+    )
+    assert queue.offer(returned, now).refused == ()
+
+
+def test_a_call_that_cannot_meet_its_deadline_is_refused_at_once():
+    """Guards against holding a call until its deadline has passed."""
+    queue, now = queue_with_running(SLOTS, hold_s=0.1)
+    hopeless = builders.waiter(10, returned=True, deadline=now + 0.05)
+    assert queue.offer(hopeless, now).refused == (hopeless,)
+
+
+def test_calls_behind_a_more_urgent_one_are_refused_when_they_lose_hope():
+    queue, now = queue_with_running(SLOTS, hold_s=0.1)
+    tight = builders.waiter(10, priority=1, deadline=now + 0.19)
+    assert queue.offer(tight, now).refused == ()
+    refused = ()
+    for number in range(11, 14):
+        urgent = builders.waiter(number, priority=9, deadline=now + 9)
+        refused += queue.offer(urgent, now).refused
+    assert refused == (tight,)
+
+
+def test_the_queue_is_bounded():
+    queue, now = queue_with_running(SLOTS)
+    outcomes = [
+        queue.offer(builders.waiter(100 + n, deadline=now + 99), now)
+        for n in range(BOUND + 1)
+    ]
+    assert [len(o.refused) for o in outcomes] == [0] * BOUND + [1]
+
+
+def test_a_closed_queue_refuses_all():
+    queue, now = queue_with_running(SLOTS)
+    waiter = builders.waiter(10, deadline=now + 9)
+    queue.offer(waiter, now)
+    assert queue.close().refused == (waiter,)
+    after = builders.waiter(11, deadline=now + 9)
+    assert queue.offer(after, now).refused == (after,)
+
+
+def test_a_withdrawn_call_leaves_the_queue():
+    queue, now = queue_with_running(SLOTS)
+    waiter = builders.waiter(10, deadline=now + 9)
+    queue.offer(waiter, now)
+    queue.withdraw(waiter)
+    assert queue.queued == 0
+    first = builders.waiter(0, deadline=0)
+    assert queue.finish(first, 0.1, now) == waiting.Outcome()
+
+
+def test_no_slots_start_nothing():
+    queue = waiting.Queue(0, 1)
+    waiter = builders.waiter(1, deadline=9.0)
+    assert queue.offer(waiter, 0.0).started == ()
