--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,291 @@
+"""Tests of the adapter of the users' platform."""
+
+import json
+import pathlib
+import re
+
+import anyio
+import httpx
+import hypothesis
+from hypothesis import strategies
+import pytest
+from rattangauge_platform import beats
+from rattangauge_platform import configuration
+from rattangauge_platform import daemon
+from rattangauge_platform import store as store_module
+
+from rattangauge import errors
+from rattangauge import settings as settings_module
+from rattangauge.config import check
+from rattangauge.generated import errorcodes
+from rattangauge.generated import objects as generated
+from rattangauge.http import messages
+from rattangauge.membership import heartbeats
+from rattangauge.sidecar import stores
+from standins import objectstore
+from tests import meshes
+
+ROOT = pathlib.Path(__file__).parent.parent
+# Words of the platform's wire that mean nothing to the project.
+WIRE_WORDS = re.compile(
+    "server-seal|target-instance|not-executed|virtual-hosts|path-prefix"
+    "|weighted-split|cold-left-s|heartbeat-addr|store-revision|local-node"
+    "|app-addr|deregister|RATTANGAUGE_SETTINGS",
+    re.IGNORECASE,
+)
+
+
+def test_the_platforms_words_stand_only_in_its_folder():
+    """Guards against names of one platform in the product."""
+    found = [
+        f"{path.relative_to(ROOT)}: {match.group()}"
+        for path in (ROOT / "rattangauge").rglob("*.py")
+        for match in WIRE_WORDS.finditer(path.read_text("utf-8"))
+    ]
+    assert not found
+
+
+def read_configuration(**fields):
+    paths = [
+        meshes.path("/track/", "skladby"),
+        meshes.path(
+            "/order/",
+            "objednavky",
+            kind="unsafe",
+            priority=0,
+            **{"timeout-s": 0.6, "max-attempts": 3},
+        ),
+    ]
+    spec = meshes.configuration(12, paths, ("skladby", "objednavky"))
+    return configuration.read({**spec, **fields})
+
+
+def test_a_configuration_becomes_objects_without_findings():
+    version, objects = read_configuration()
+    assert version == 12
+    assert not check.check(objects)
+    order = objects["route"]["r-order"]
+    assert (order.host, order.prefix) == (meshes.HOST, "/order/")
+    assert order.idempotent == "no"
+    policy = objects["policy"][order.policy]
+    assert (policy.timeout_ms, policy.retries, policy.priority) == (600, 2, 9)
+    assert policy.target_latency_ms == 500
+    limits = objects["limits"]["callers"]
+    assert limits == generated.Limits("callers", 16384, 1_000_000, 3000, 15000)
+    assert objects["pool"]["skladby"].health_path == "/health"
+
+
+def test_a_split_becomes_shares():
+    parts = [
+        {"service": "skladby", "weight": 90},
+        {"service": "objednavky", "weight": 10},
+    ]
+    path = meshes.path("/track/", None, **{"weighted-split": parts})
+    del path["service"]
+    spec = meshes.configuration(1, [path], ("skladby", "objednavky"))
+    _version, objects = configuration.read(spec)
+    route = objects["route"]["r-track"]
+    assert route.service == "skladby"
+    assert route.weights == (90, 10)
+    assert not check.check(objects)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"version": "12"},
+        {"version": 12},
+        {"services": [{}]},
+        {"virtual-hosts": [{"host": "a", "paths": [{}]}]},
+        {"limits": {}},
+        {"virtual-hosts": None},
+    ],
+)
+def test_a_configuration_of_another_shape_is_an_error(fields):
+    with pytest.raises(errors.CodedError) as caught:
+        read_configuration(**fields)
+    assert caught.value.code == errorcodes.STORE_PROTOCOL
+
+
+BODY = {
+    "address": "10.0.0.9:8080",
+    "born": 1786000000000,
+    "info": {"service": "s", "version": "v1", "zone": "z", "slots": 9},
+    "status": {"state": "ready", "seq": 3, "cold-left-s": 1.5},
+}
+
+
+def beat(body, path="/instances/i-7/heartbeat", method="POST"):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return beats.read(messages.Request(method, path, (), data))
+
+
+def test_a_heartbeat_is_read():
+    told = beat(BODY)
+    assert told.instance == "i-7"
+    assert (told.sequence, told.started_ms) == (3, 1786000000000)
+    assert (told.service, told.slots, told.is_draining) == ("s", 9, False)
+    assert told.cold_left_s == 1.5
+
+
+def test_a_departure_is_read():
+    path = "/instances/i-7/deregister"
+    assert beat(b"", path) == heartbeats.Departure("i-7", 0)
+    assert beat({"born": 5}, path) == heartbeats.Departure("i-7", 5)
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"info": None},
+        {"info": {**BODY["info"], "slots": 0}},
+        {"info": {**BODY["info"], "slots": True}},
+        {"info": {**BODY["info"], "slots": 10**9}},
+        {"info": {**BODY["info"], "service": 3}},
+        {"status": {**BODY["status"], "state": "asleep"}},
+        {"status": {**BODY["status"], "seq": "3"}},
+        {"status": {**BODY["status"], "cold-left-s": "long"}},
+        {"address": "example.com:80"},
+        {"address": None},
+        {"born": 1.5},
+    ],
+)
+def test_a_heartbeat_of_another_writer_is_refused_with_its_place(changed):
+    with pytest.raises(errors.FindingsError) as caught:
+        beat({**BODY, **changed})
+    assert "/instances/i-7/heartbeat" in str(caught.value)
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(
+    strategies.binary(max_size=60)
+    | strategies.recursive(
+        strategies.none() | strategies.integers() | strategies.text(),
+        lambda inner: strategies.dictionaries(
+            strategies.sampled_from(
+                ["address", "info", "status", "born", "seq", "slots", "state"]
+            ),
+            inner,
+        ),
+    ).map(lambda value: json.dumps(value).encode())
+)
+def test_any_body_is_read_or_refused(data):
+    """Guards against a heartbeat that ends the daemon."""
+    try:
+        beat(data)
+    except errors.FindingsError as error:
+        assert error.findings
+
+
+async def with_store(check_store, timeout_s=0.3):
+    """Runs a check against a client of a stand-in store."""
+    store = objectstore.ObjectStore()
+    async with anyio.create_task_group() as tasks:
+        await store.start(tasks)
+        url = f"http://{store.address}"
+        async with httpx.AsyncClient(base_url=url, timeout=timeout_s) as http:
+            await check_store(store, store_module.ObjectStore(http))
+        tasks.cancel_scope.cancel()
+
+
+async def test_the_configuration_is_read_and_watched():
+    async def check_store(store, client):
+        found = await client.read_configuration()
+        assert (found.version, found.objects) == (0, None)
+        spec = meshes.configuration(4, [], ())
+        store.put("config", "main", spec)
+        changed = await client.watch_configuration(found.revision, 1.0)
+        assert changed.version == 4
+        store.put("config", "other", {"version": "r9"})
+        again = await client.watch_configuration(changed.revision, 0.1)
+        assert again.objects is None
+
+    await with_store(check_store)
+
+
+async def test_a_history_that_is_gone_is_told():
+    async def check_store(store, client):
+        store.put("config", "main", meshes.configuration(4, [], ()))
+        store.compact()
+        with pytest.raises(errors.CodedError) as caught:
+            await client.watch_configuration(1, 0.1)
+        assert caught.value.code == errorcodes.STORE_COMPACTED
+
+    await with_store(check_store)
+
+
+@pytest.mark.parametrize("status", [503, 429, 500])
+async def test_a_store_that_refuses_is_unavailable(status):
+    async def check_store(store, client):
+        store.refuse_with = status
+        with pytest.raises(errors.CodedError) as caught:
+            await client.read_configuration()
+        assert caught.value.code == errorcodes.STORE_UNAVAILABLE
+
+    await with_store(check_store)
+
+
+async def test_a_silent_store_is_given_up():
+    async def check_store(store, client):
+        store.is_silent = True
+        with anyio.fail_after(2), pytest.raises(errors.CodedError):
+            await client.watch_configuration(1, 0.1)
+
+    await with_store(check_store)
+
+
+async def test_an_entry_whose_answer_was_lost_is_entered_once():
+    async def check_store(store, client):
+        entry = stores.Entry("10.0.0.1:80", "z", "r")
+        store.loses_answers = True
+        with pytest.raises(errors.CodedError):
+            await client.enter(entry)
+        store.loses_answers = False
+        await client.enter(entry)
+        assert await client.entries(False) == [entry]
+        await client.leave(entry.mesh)
+        assert await client.entries(True) == []
+        assert any("stale-ok=1" in call for call in store.calls)
+
+    await with_store(check_store)
+
+
+def filled_template():
+    """Returns the template as the platform fills it in."""
+    text = (ROOT / "platform" / "settings.toml").read_text("utf-8")
+    values = {
+        "node-name|json": '"a"',
+        "zone|json": '"zone-1"',
+        "region|json": '"r"',
+        "service": "s",
+        "ip": "10.0.0.1",
+        "port-range.0": "7600",
+    }
+    return re.sub(
+        r"\{\{([^}]*)\}\}",
+        lambda match: values.get(match.group(1), "10.0.0.1:80"),
+        text,
+    )
+
+
+def test_the_template_makes_valid_settings():
+    settings = settings_module.parse(filled_template(), "node.toml")
+    assert settings.instance.zone == "zone-1"
+    assert settings.listen.operators == "10.0.0.1:7600"
+    assert settings.platform.url == "http://10.0.0.1:80"
+
+
+async def test_changed_settings_are_read_again(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(filled_template())
+    settings = settings_module.load(path)
+    async with httpx.AsyncClient(base_url=settings.platform.url) as client:
+        reload = daemon._Reload(path, settings, client)
+        reload()
+        assert client.base_url.host == "10.0.0.1"
+        path.write_text(filled_template().replace("10.0.0.1:80", "10.0.0.2:80"))
+        reload()
+        assert client.base_url.host == "10.0.0.2"
+        path.write_text("nonsense = ")
+        reload()
+        assert client.base_url.host == "10.0.0.2"
