--- a/rattangauge/calls/waiting.py
+++ b/rattangauge/calls/waiting.py
@@ -1,9 +1,10 @@
 """Decides which calls of one upstream run, wait or are turned away.
 
 Answers the load of a peak: more calls arrive for seconds than the slots can
-take. Calls wait in the order of their priority, those that came back after a
-refusal first, and only as long as they can still be of use. All others are
-refused at once, while their callers have time left to come back.
+take. Calls that another call waits for go first, then the order is that of
+their priority, with those first that came back after a refusal. A call waits
+only as long as it can still be of use. All others are refused at once, while
+their callers have time left to come back.
 """
 
 import bisect
@@ -22,6 +23,13 @@
 
 # Calls of one kind differ: one that must end in time needs more than the mean.
 CAUTION = 1.2
+# Share of the time to spare before the target latency that a new call waits.
+PATIENCE = 0.25
+# The same for a caller that came back.
+RETURNED_PATIENCE = 0.5
+# Share of the time to the deadline that a call waits that is late anyway: it
+# should not take the slot of one that can be in time.
+LATE_PATIENCE = 0.03
 
 
 class Waiter(NamedTuple):
@@ -32,6 +40,8 @@
         kind: Calls of one kind hold a slot about equally long.
         priority: 0 to 9; 9 is served first.
         returned: Whether the caller was refused before and came back.
+        inner: Whether an upstream makes it while it runs another call, whose
+            work would be lost.
         target_at: Time until which an answer is of full use; 0 if unknown.
         deadline: Time by which the call must be answered.
     """
@@ -40,6 +50,7 @@
     kind: str
     priority: int
     returned: bool
+    inner: bool
     target_at: float
     deadline: float
 
@@ -93,13 +104,13 @@
 class _Entry(NamedTuple):
     """A waiting call in the order of service."""
 
-    rank: tuple[int, bool]
+    rank: tuple[bool, int, bool]
     number: int
     waiter: Waiter
 
 
-def _rank(waiter: Waiter) -> tuple[int, bool]:
-    return -waiter.priority, not waiter.returned
+def _rank(waiter: Waiter) -> tuple[bool, int, bool]:
+    return not waiter.inner, -waiter.priority, not waiter.returned
 
 
 class Queue:
@@ -229,15 +240,19 @@
     def _is_hopeless(self, waiter: Waiter, wait_s: float, now: float) -> bool:
         """Tells whether a call should not go on waiting.
 
-        A caller that may still come back is refused as soon as it would miss
-        the target latency; one that came back waits up to its deadline.
+        A caller that may still come back is refused when the wait takes too
+        much of its time; one that came back waits up to its deadline.
         """
-        ends_at = now + wait_s + CAUTION * self.hold_s(waiter.kind)
-        if ends_at > waiter.deadline:
+        hold_s = self.hold_s(waiter.kind)
+        if now + wait_s + CAUTION * hold_s > waiter.deadline:
             return True
-        earliest = now + self.hold_s(waiter.kind)
-        may_return = not waiter.returned and earliest < waiter.target_at
-        return may_return and ends_at > waiter.target_at
+        if waiter.inner:
+            return False
+        slack_s = waiter.target_at - now - hold_s
+        if slack_s > 0.0:
+            patience = RETURNED_PATIENCE if waiter.returned else PATIENCE
+            return wait_s > patience * slack_s
+        return wait_s > LATE_PATIENCE * (waiter.deadline - now - hold_s)
 
     def _refuse_hopeless(self, place: int, now: float) -> tuple[Waiter, ...]:
         """Removes the calls from a place on that wait without hope."""
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -4,6 +4,7 @@
 and a request must cost a fraction of a millisecond beside an upstream.
 """
 
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
@@ -18,6 +19,9 @@
 RECEIVE_BYTES = 65_536
 # Requests that a caller may send ahead before the daemon stops to read.
 MAX_AHEAD = 16
+# Requests of one connection that are served at the same time.
+MAX_TOGETHER = 16
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 # A caller that does not read its response for this time is cut off.
 SEND_TIMEOUT_S = 10.0
 # After an error the rest of the request is read for this time, so that the
@@ -107,36 +111,64 @@
             self._connections.discard(connection)
 
 
+class _Turn:
+    """A request whose response is due, in the order of the requests.
+
+    Attributes:
+        request: The request.
+        is_done: Set when there is a response.
+        response: The response.
+    """
+
+    def __init__(self, request: messages.Request) -> None:
+        self.request = request
+        self.is_done = anyio.Event()
+        self.response: messages.Response | None = None
+
+
+def _caller(stream: anyio.abc.ByteStream) -> str:
+    """Returns the IP number at the other end; empty if it is unknown."""
+    attribute = anyio.abc.SocketAttribute.remote_address
+    address = stream.extra(attribute, ("",))
+    return str(address[0])
+
+
 class _Connection:
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Requests that change nothing are served at the same time if the caller sent
+    them ahead; their responses keep the order.
+    """
 
     def __init__(self, server: Server, stream: anyio.abc.ByteStream) -> None:
         limits = server.limits
         self._server = server
         self._stream = stream
         self._reader = parsing.RequestReader(
-            parsing.Bounds(limits.header_bytes, limits.body_bytes)
+            parsing.Bounds(limits.header_bytes, limits.body_bytes),
+            _caller(stream),
         )
         self._fault: parsing.SyntaxFault | None = None
         self._arrived = anyio.Event()
         self._read_on = anyio.Event()
         self._has_left = False
         self._held = 0
-        self._serving: anyio.CancelScope | None = None
+        self._turns: deque[_Turn] = deque()
+        self._turned = anyio.Event()
 
     @property
     def is_busy(self) -> bool:
         """Whether a request has begun and is not answered."""
         has_more = self._reader.has_begun or bool(self._reader.requests)
-        return self._serving is not None or has_more
+        return bool(self._turns) or has_more
 
     async def run(self) -> None:
         """Serves requests until either end closes the connection."""
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._receive)
-                await self._serve_all()
-                tasks.cancel_scope.cancel()
+                tasks.start_soon(self._receive, tasks)
+                tasks.start_soon(self._send_all, tasks)
+                await self._start_all(tasks)
         finally:
             self._hold(0)
             await anyio.aclose_forcefully(self._stream)
@@ -146,40 +178,28 @@
         self._server.held_bytes += size - self._held
         self._held = size
 
-    async def _receive(self) -> None:
-        """Receives bytes; a caller that leaves cancels its call."""
-        while self._fault is None:
-            try:
-                data = await self._stream.receive(RECEIVE_BYTES)
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
-                self._has_left = True
-                break
-            self._take(data)
-            self._arrived.set()
+    async def _receive(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Receives bytes; a caller that leaves cancels its calls."""
+        while await self._receive_some():
             while len(self._reader.requests) >= MAX_AHEAD:
                 self._read_on = anyio.Event()
                 await self._read_on.wait()
-        self._arrived.set()
-        if self._has_left and self._serving is not None:
-            self._serving.cancel()
-        while self._fault is not None and not self._has_left:
-            self._has_left = not await self._discard()
-        self._arrived.set()
-
-    async def _discard(self) -> bool:
-        """Reads on after a fault; returns whether the caller is still there."""
+        self._has_left = True
+        tasks.cancel_scope.cancel()
+
+    async def _receive_some(self) -> bool:
+        """Receives bytes; returns whether the caller is still there."""
         try:
-            await self._stream.receive(RECEIVE_BYTES)
+            data = await self._stream.receive(RECEIVE_BYTES)
         except (
             anyio.EndOfStream,
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
         ):
             return False
+        if self._fault is None:
+            self._take(data)
+            self._arrived.set()
         return True
 
     def _take(self, data: bytes) -> None:
@@ -193,26 +213,72 @@
             reason = "the daemon holds too many bodies"
             self._fault = parsing.SyntaxFault(503, reason)
 
-    async def _serve_all(self) -> None:
+    async def _start_all(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts the requests as they come."""
+        while (request := await self._next()) is not None:
+            while not self._may_start(request):
+                await self._wait_turned()
+            turn = _Turn(request)
+            self._turns.append(turn)
+            self._turned.set()
+            tasks.start_soon(self._handle, turn)
+        while self._turns:
+            await self._wait_turned()
+        if self._fault is not None:
+            await self._refuse(self._fault)
+        tasks.cancel_scope.cancel()
+
+    def _may_start(self, request: messages.Request) -> bool:
+        """Tells whether a request may run beside those before it.
+
+        A caller sends all requests behind a response that ends the connection
+        again: those that change something wait for their turn.
+        """
+        if not self._turns:
+            return True
+        methods = {request.method, self._turns[-1].request.method}
+        return methods <= SAFE_METHODS and len(self._turns) < MAX_TOGETHER
+
+    async def _wait_turned(self) -> None:
+        self._turned = anyio.Event()
+        await self._turned.wait()
+
+    async def _handle(self, turn: _Turn) -> None:
+        turn.response = await self._server.handle(turn.request)
+        turn.is_done.set()
+
+    async def _send_all(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Sends the responses in the order of the requests."""
         try:
-            while (request := await self._next()) is not None:
-                if not await self._answer(request):
-                    return
-            if self._fault is not None:
-                await self._refuse(self._fault)
+            while await self._send_next():
+                pass
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             loguru.logger.debug("a caller has left: {!r}", error)
+        tasks.cancel_scope.cancel()
+
+    async def _send_next(self) -> bool:
+        """Sends the next response; returns whether another one may follow."""
+        while not self._turns:
+            await self._wait_turned()
+        turn = self._turns[0]
+        await turn.is_done.wait()
+        assert turn.response is not None
+        keeps_alive = turn.request.keeps_alive and not self._server.is_closing
+        await self._send(turn.response, turn.request.method, keeps_alive)
+        self._turns.popleft()
+        self._turned.set()
+        return keeps_alive
 
     async def _next(self) -> messages.Request | None:
         """Returns the next request; None if there is no further one."""
         while not self._reader.requests:
-            if self._has_left or self._fault is not None:
+            if self._fault is not None:
                 return None
             timeout_s = await self._prepare()
             self._arrived = anyio.Event()
             with anyio.move_on_after(timeout_s) as scope:
                 await self._arrived.wait()
-            if scope.cancelled_caught:
+            if scope.cancelled_caught and not self._turns:
                 if self._reader.has_begun:
                     reason = "the request did not arrive in time"
                     self._fault = parsing.SyntaxFault(408, reason)
@@ -231,20 +297,6 @@
             await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         return limits.body_s
 
-    async def _answer(self, request: messages.Request) -> bool:
-        """Answers a request; returns whether another one may follow."""
-        response: messages.Response | None = None
-        with anyio.CancelScope() as scope:
-            self._serving = scope
-            if not self._has_left:
-                response = await self._server.handle(request)
-        self._serving = None
-        if response is None:
-            return False
-        keeps_alive = request.keeps_alive and not self._server.is_closing
-        await self._send(response, request.method, keeps_alive)
-        return keeps_alive
-
     async def _send(
         self, response: messages.Response, method: str, keeps_alive: bool
     ) -> None:
@@ -275,7 +327,5 @@
         await self._send(messages.Response(fault.status), "GET", False)
         if isinstance(self._stream, anyio.abc.SocketStream):
             await self._stream.send_eof()
-        with anyio.move_on_after(LINGER_S):
-            while not self._has_left:
-                self._arrived = anyio.Event()
-                await self._arrived.wait()
+        # The task that receives ends this one when the caller closes.
+        await anyio.sleep(LINGER_S)
--- a/rattangauge/lab/model.py
+++ b/rattangauge/lab/model.py
@@ -295,6 +295,7 @@
             call.kind.name,
             call.kind.priority,
             call.returns > 0,
+            not call.kind.rate,
             call.born + call.kind.target_s,
             call.deadline,
         )
--- a/rattangauge/lab/patterns.py
+++ b/rattangauge/lab/patterns.py
@@ -162,6 +162,9 @@
     for pattern in (
         _choirs("calm", "an ordinary load", _burst(0.5, 1.0, 0, 0)),
         _choirs("swing", "a wave above the capacity", _swing(1.0, 0.55, 12.0)),
+        _choirs(
+            "peak", "a wave far above the capacity", _swing(1.25, 0.55, 12.0)
+        ),
         _choirs("burst", "many callers at once", _burst(0.8, 1.7, 4.0, 7.0)),
         _choirs(
             "storm",
--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -185,6 +185,7 @@
             opened.route,
             opened.priority,
             opened.returned,
+            opened.inner,
             target_at,
             request.deadline,
         )
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -8,6 +8,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import settings as settings_module
+from rattangauge.calls import deadlines as deadlines_module
 from rattangauge.calls import exchange
 from rattangauge.calls import placement
 from rattangauge.calls import retry
@@ -38,8 +39,6 @@
 # Weight of a new measurement of the size of the answers of a route.
 SIZE_WEIGHT = 0.1
 HEAD_BYTES = 300
-# A caller whose time is shorter by this share of the usual has returned.
-RETURNED_SHARE = 0.04
 SERVER_ERROR = 500
 
 
@@ -116,7 +115,9 @@
         self._random = random_module.Random()
         self._numbers = itertools.count(1)
         self._answer_bytes: dict[str, float] = {}
-        self._usual_ms: dict[str, int] = {}
+        self._deadlines = deadlines_module.Deadlines()
+        upstream = settings.instance.upstream
+        self._upstream_host = upstream.rpartition(":")[0]
 
     @property
     def version(self) -> int:
@@ -212,14 +213,17 @@
         if text and not text.isdigit():
             return None
         caller_ms = int(text) if text else timeout_ms
-        usual_ms = self._observe_deadline(target.route.name, caller_ms)
-        elapsed_ms = max(0, usual_ms - caller_ms)
+        name = target.route.name
+        inner = request.caller == self._upstream_host
+        elapsed_ms = 0
+        if not inner:
+            elapsed_ms = self._deadlines.elapsed_ms(name, caller_ms)
         left_ms = min(caller_ms, timeout_ms)
         target_ms = target.policy.target_latency_ms - elapsed_ms
         target_at = request.received_at + target_ms / 1000
         service = target.service.name
         if target.shares:
-            service = self._split.choose(target.route.name, target.shares)
+            service = self._split.choose(name, target.shares)
         opened = messages.CallOpen(
             call_id=f"{next(self._numbers)}",
             service=service,
@@ -231,8 +235,10 @@
             version=self.version,
             body=request.body,
             last=True,
-            route=target.route.name,
-            returned=elapsed_ms > RETURNED_SHARE * usual_ms,
+            route=name,
+            returned=request.is_first
+            and self._deadlines.has_returned(name, elapsed_ms),
+            inner=inner,
         )
         deadline = request.received_at + left_ms / 1000
         return _Call(
@@ -243,12 +249,6 @@
             target_at,
         )
 
-    def _observe_deadline(self, route: str, caller_ms: int) -> int:
-        """Returns the time that callers of a route have at first, in ms."""
-        usual_ms = max(caller_ms, self._usual_ms.get(route, 0))
-        self._usual_ms[route] = usual_ms
-        return usual_ms
-
     def _headers(
         self, request: http_messages.Request
     ) -> tuple[messages.Header, ...]:
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -68,6 +68,7 @@
   route @17 :Text;      # name of the route
   targetMs @18 :UInt32; # time left to the target latency; 0 if none or passed
   returned @19 :Bool;   # the caller was refused before and came back
+  inner @20 :Bool;      # an upstream makes it while it runs another call
 }
 struct CallData { body @0 :Data; last @1 :Bool; }
 struct CallCancel { reason @0 :Text; }
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -62,6 +62,7 @@
         "kind": "track-play",
         "priority": 5,
         "returned": False,
+        "inner": False,
         "target_at": 0.0,
         "deadline": 1.0,
     }
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,45 @@
+"""Tests of the estimate of how long a caller has waited before."""
+
+import random
+
+from rattangauge.calls import deadlines as deadlines_module
+
+
+def test_patient_callers_do_not_make_all_others_late():
+    """Guards against a target latency that a few long deadlines shorten."""
+    source = random.Random(1)
+    deadlines = deadlines_module.Deadlines()
+    for _ in range(3000):
+        is_patient = source.random() < 0.04
+        left_ms = 5000 if is_patient else source.randint(480, 500)
+        deadlines.elapsed_ms("r", left_ms)
+    assert deadlines.elapsed_ms("r", 490) < 30
+    assert not deadlines.has_returned("r", 15)
+
+
+def test_a_caller_that_came_back_is_known_by_its_time():
+    source = random.Random(1)
+    deadlines = deadlines_module.Deadlines()
+    for _ in range(3000):
+        has_returned = source.random() < 0.15
+        left_ms = 400 if has_returned else source.randint(485, 500)
+        deadlines.elapsed_ms("r", left_ms)
+    elapsed_ms = deadlines.elapsed_ms("r", 400)
+    assert 70 < elapsed_ms < 110
+    assert deadlines.has_returned("r", elapsed_ms)
+
+
+def test_a_changed_timeout_is_learnt():
+    deadlines = deadlines_module.Deadlines()
+    for _ in range(100):
+        deadlines.elapsed_ms("r", 500)
+    for _ in range(1000):
+        deadlines.elapsed_ms("r", 200)
+    assert deadlines.elapsed_ms("r", 200) < 20
+
+
+def test_the_routes_are_bounded():
+    deadlines = deadlines_module.Deadlines()
+    for number in range(deadlines_module.MAX_ROUTES + 5):
+        deadlines.elapsed_ms(f"r{number}", 100)
+    assert len(deadlines._usual_ms) <= deadlines_module.MAX_ROUTES
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -66,6 +66,44 @@
     assert places == sorted(places)
 
 
+async def test_requests_sent_ahead_do_not_wait_for_each_other():
+    """Guards against a slow request that delays those behind it."""
+    running = []
+    together = []
+
+    async def slow(request):
+        running.append(request)
+        together.append(len(running))
+        await anyio.sleep(0.1)
+        running.remove(request)
+        return await echo(request)
+
+    data = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % number for number in range(5)
+    )
+    answer = await exchange(data, slow)
+    assert max(together) == 5
+    assert answer.count(b"HTTP/1.1 200 ") == 5
+
+
+async def test_a_request_that_changes_something_waits_for_its_turn():
+    """Guards against an order that runs behind a response that closes."""
+    order = []
+
+    async def slow(request):
+        order.append(("begin", request.method))
+        await anyio.sleep(0.05)
+        order.append(("end", request.method))
+        return await echo(request)
+
+    data = (
+        b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+    )
+    await exchange(data, slow)
+    assert order == [("begin", "GET"), ("end", "GET")]
+
+
 async def test_a_body_in_chunks_is_whole():
     answer = await exchange(
         b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
