Keep large calls longer in their zone

Change: the share of the target latency within which a call stays in its zone grows with its size; a byte between zones costs more in the comparison.

--- a/rattangauge/calls/placement.py
+++ b/rattangauge/calls/placement.py
@@ -11,11 +11,13 @@
 
 # Cost of a call to another zone: the way there and back, and its bytes.
 ZONE_COST_S = 0.002
-ZONE_COST_S_PER_BYTE = 1.5e-6
+ZONE_COST_S_PER_BYTE = 4e-6
 
-# A call stays in its zone if it is expected to end within this share of the
-# time that is left to its target latency.
-LOCAL_SHARE = 0.55
+# A call stays in its zone if it is expected to end within a share of the time
+# that is left to its target latency, which is larger for a large call.
+LOCAL_SHARE = 0.75
+LOCAL_SHARE_PER_BYTE = 3e-5
+MAX_LOCAL_SHARE = 1.0
 
 # Latency to assume of an instance without a measurement, in seconds.
 DEFAULT_HOLD_S = 0.05
@@ -115,7 +117,8 @@
         return None
     measured = _with_hold(candidates)
     usable = [c for c in measured if not c.is_ill] or measured
-    limit_s = LOCAL_SHARE * demand.target_left_s
+    share = LOCAL_SHARE + LOCAL_SHARE_PER_BYTE * demand.size
+    limit_s = min(MAX_LOCAL_SHARE, share) * demand.target_left_s
     local = [c for c in usable if c.is_local and expected_s(c) <= limit_s]
 
     def cost(candidate: Candidate) -> float:
