Do not wait for callers that stop inside a body

Ruled out: running calls (0 open), callers that read nothing, the slow store. Change: a request is refused as not run if no byte of its body comes for 5 s. Test: test_a_caller_that_stops_inside_its_body_does_not_hold_a_daemon, exit code -9 before, 0 after.

--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -34,6 +34,9 @@
 # saves for them.
 WATCH_AFTER_S = 0.02
 
+# A caller that stops inside its body would hold a daemon that shuts down.
+BODY_IDLE_S = 5.0
+
 _STATUS = {
     errorcodes.CALL_NO_ROUTE: 404,
     errorcodes.CALL_BAD_HEADER: 400,
@@ -156,7 +159,18 @@
             yield await self._receive_piece()
 
     async def _receive_piece(self) -> bytes:
-        event = await self._receive()
+        """Receives a piece of the body.
+
+        Raises:
+            exchange.CallFailed: The caller left, or sends nothing more.
+        """
+        try:
+            with anyio.fail_after(BODY_IDLE_S):
+                event = await self._receive()
+        except TimeoutError as error:
+            text = f"no byte of the body came within {BODY_IDLE_S} s"
+            code = errorcodes.CALL_CANCELLED
+            raise exchange.not_run(code, text) from error
         if event["type"] == "http.disconnect":
             text = "the caller ended the request inside its body"
             raise exchange.not_run(errorcodes.CALL_CANCELLED, text)
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -64,6 +64,19 @@
         assert (await fleet.counters("c")).get("finished", 0) == 0
 
 
+async def test_a_caller_that_stops_inside_its_body_does_not_hold_a_daemon():
+    """Guards against a graceful shutdown that never ends (chaos seed 43)."""
+    async with test_once.mesh() as (fleet, _client):
+        host, port = fleet.ports["a"].callers.rsplit(":", 1)
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(
+                b"POST /objednavky?echo=stop HTTP/1.1\r\nhost: a\r\n"
+                b"content-length: 1000000\r\n\r\nhalf"
+            )
+            await anyio.sleep(0.2)
+            assert await fleet.stop("a") == 0
+
+
 async def test_cancellation_reaches_the_upstream():
     """Guards against work that goes on for a caller that has gone."""
     async with test_once.mesh() as (fleet, client):
