Read and write HTTP through protocols of the event loop

Cause: on the default loop a stream pauses and resumes its reader for each receive, two system calls more a message, and a task a connection reads.

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -4,9 +4,11 @@
 and a request must cost a fraction of a millisecond beside an upstream.
 """
 
+import asyncio
 from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 from typing import NamedTuple
 
 import anyio
@@ -16,7 +18,7 @@
 from rattangauge.http import messages
 from rattangauge.http import parsing
 
-RECEIVE_BYTES = 65_536
+LISTEN_BACKLOG = 1024
 # Requests that a caller may send ahead before the daemon stops to read.
 MAX_AHEAD = 16
 # Requests of one connection that are served at the same time.
@@ -93,22 +95,40 @@
         """Answers a request."""
         return await self._handler(request)
 
-    async def serve(
-        self, listener: anyio.abc.Listener[anyio.abc.SocketStream]
-    ) -> None:
-        """Serves connections until cancelled."""
-        async with listener:
-            await listener.serve(self._serve_one)
+    async def serve(self, listener: socket.socket) -> None:
+        """Serves connections until cancelled.
 
-    async def _serve_one(self, stream: anyio.abc.ByteStream) -> None:
-        connection = _Connection(self, stream)
+        Args:
+            listener: A socket from ``listen``; it is closed at the end.
+        """
+        loop = asyncio.get_running_loop()
+        async with anyio.create_task_group() as tasks:
+            server = await loop.create_server(
+                lambda: _Connection(self, tasks),
+                sock=listener,
+                backlog=LISTEN_BACKLOG,
+            )
+            try:
+                await anyio.sleep_forever()
+            finally:
+                server.close()
+
+    def add(self, connection: "_Connection") -> None:
+        """Takes a new connection."""
         self._connections.add(connection)
-        try:
-            await connection.run()
-        except Exception as error:  # one connection must not end the daemon
-            loguru.logger.opt(exception=error).error("a connection failed")
-        finally:
-            self._connections.discard(connection)
+
+    def discard(self, connection: "_Connection") -> None:
+        """Forgets a connection."""
+        self._connections.discard(connection)
+
+
+def listen(host: str, port: int = 0) -> socket.socket:
+    """Returns a socket for ``Server.serve``; port 0 takes a free one.
+
+    Raises:
+        OSError: The address is in use.
+    """
+    return socket.create_server((host, port), backlog=LISTEN_BACKLOG)
 
 
 class _Turn:
@@ -126,35 +146,25 @@
         self.response: messages.Response | None = None
 
 
-def _caller(stream: anyio.abc.ByteStream) -> str:
-    """Returns the IP number at the other end; empty if it is unknown."""
-    attribute = anyio.abc.SocketAttribute.remote_address
-    address = stream.extra(attribute, ("",))
-    return str(address[0])
-
-
-class _Connection:
+class _Connection(asyncio.Protocol):
     """One connection of a caller.
 
     Requests that change nothing are served at the same time if the caller sent
     them ahead; their responses keep the order.
     """
 
-    def __init__(self, server: Server, stream: anyio.abc.ByteStream) -> None:
-        limits = server.limits
+    def __init__(self, server: Server, tasks: anyio.abc.TaskGroup) -> None:
         self._server = server
-        self._stream = stream
-        self._reader = parsing.RequestReader(
-            parsing.Bounds(limits.header_bytes, limits.body_bytes),
-            _caller(stream),
-        )
+        self._tasks = tasks
         self._fault: parsing.SyntaxFault | None = None
         self._arrived = anyio.Event()
-        self._read_on = anyio.Event()
+        self._scope = anyio.CancelScope()
         self._has_left = False
         self._held = 0
         self._turns: deque[_Turn] = deque()
         self._turned = anyio.Event()
+        self._writable = anyio.Event()
+        self._writable.set()
 
     @property
     def is_busy(self) -> bool:
@@ -162,46 +172,61 @@
         has_more = self._reader.has_begun or bool(self._reader.requests)
         return bool(self._turns) or has_more
 
-    async def run(self) -> None:
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to serve a caller."""
+        assert isinstance(transport, asyncio.Transport)
+        limits = self._server.limits
+        peer = transport.get_extra_info("peername") or ("",)
+        self._transport = transport
+        self._reader = parsing.RequestReader(
+            parsing.Bounds(limits.header_bytes, limits.body_bytes),
+            str(peer[0]),
+        )
+        self._server.add(self)
+        self._tasks.start_soon(self._run)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the caller."""
+        if self._fault is not None:
+            return
+        self._take(data)
+        self._arrived.set()
+        if len(self._reader.requests) >= MAX_AHEAD:
+            self._transport.pause_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels the calls of a caller that left."""
+        self._has_left = True
+        self._writable.set()
+        self._scope.cancel()
+
+    def pause_writing(self) -> None:
+        """Notes that the caller reads slowly."""
+        self._writable = anyio.Event()
+
+    def resume_writing(self) -> None:
+        """Notes that the caller reads on."""
+        self._writable.set()
+
+    async def _run(self) -> None:
         """Serves requests until either end closes the connection."""
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._receive, tasks)
-                tasks.start_soon(self._send_all, tasks)
-                await self._start_all(tasks)
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._send_all, tasks)
+                    await self._start_all(tasks)
+        except Exception as error:  # one connection must not end the daemon
+            loguru.logger.opt(exception=error).error("a connection failed")
         finally:
             self._hold(0)
-            await anyio.aclose_forcefully(self._stream)
+            self._server.discard(self)
+            self._transport.close()
 
     def _hold(self, size: int) -> None:
         """Counts the bytes of bodies that the connection holds."""
         self._server.held_bytes += size - self._held
         self._held = size
 
-    async def _receive(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Receives bytes; a caller that leaves cancels its calls."""
-        while await self._receive_some():
-            while len(self._reader.requests) >= MAX_AHEAD:
-                self._read_on = anyio.Event()
-                await self._read_on.wait()
-        self._has_left = True
-        tasks.cancel_scope.cancel()
-
-    async def _receive_some(self) -> bool:
-        """Receives bytes; returns whether the caller is still there."""
-        try:
-            data = await self._stream.receive(RECEIVE_BYTES)
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
-            return False
-        if self._fault is None:
-            self._take(data)
-            self._arrived.set()
-        return True
-
     def _take(self, data: bytes) -> None:
         try:
             self._reader.feed(data, anyio.current_time())
@@ -249,11 +274,8 @@
 
     async def _send_all(self, tasks: anyio.abc.TaskGroup) -> None:
         """Sends the responses in the order of the requests."""
-        try:
-            while await self._send_next():
-                pass
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            loguru.logger.debug("a caller has left: {!r}", error)
+        while await self._send_next():
+            pass
         tasks.cancel_scope.cancel()
 
     async def _send_next(self) -> bool:
@@ -283,7 +305,8 @@
                     reason = "the request did not arrive in time"
                     self._fault = parsing.SyntaxFault(408, reason)
                 return None
-        self._read_on.set()
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
         return self._reader.requests.popleft()
 
     async def _prepare(self) -> float:
@@ -294,7 +317,7 @@
         if not self._reader.has_headers:
             return limits.header_s
         if self._reader.expects_continue:
-            await self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return limits.body_s
 
     async def _send(
@@ -315,17 +338,20 @@
         if not keeps_alive:
             headers.append((b"connection", b"close"))
         whole = messages.Response(response.status, tuple(headers), body)
+        self._transport.write(messages.encode_response(whole))
+        if self._writable.is_set():
+            return
         with anyio.move_on_after(SEND_TIMEOUT_S) as scope:
-            await self._stream.send(messages.encode_response(whole))
+            await self._writable.wait()
         if scope.cancelled_caught:
             loguru.logger.warning("a caller does not read its response")
-            raise anyio.BrokenResourceError
+            self._transport.abort()
 
     async def _refuse(self, fault: parsing.SyntaxFault) -> None:
         """Answers a request that is not handled, and ends the connection."""
         loguru.logger.warning("a request is refused: {}", fault)
         await self._send(messages.Response(fault.status), "GET", False)
-        if isinstance(self._stream, anyio.abc.SocketStream):
-            await self._stream.send_eof()
-        # The task that receives ends this one when the caller closes.
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        # The loss of the connection ends this wait.
         await anyio.sleep(LINGER_S)
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -30,7 +30,6 @@
 # After the signal to stop, callers need this time to turn to other daemons.
 ANNOUNCE_S = 2.5
 STOP_CHECK_S = 0.05
-LISTEN_BACKLOG = 1024
 
 Told = heartbeats.Heartbeat | heartbeats.Departure
 
@@ -85,10 +84,10 @@
             tasks.start_soon(
                 meshserver.serve_mesh, self._handle, self._settings
             )
-            await _serve(tasks, listen.callers, self._callers)
-            await _serve(tasks, listen.ready, self._server(self._ready))
-            await _serve(tasks, listen.control, self._server(self._control))
-            await _serve(tasks, listen.operators, self._server(_metrics))
+            _serve(tasks, listen.callers, self._callers)
+            _serve(tasks, listen.ready, self._server(self._ready))
+            _serve(tasks, listen.control, self._server(self._control))
+            _serve(tasks, listen.operators, self._server(_metrics))
             tasks.start_soon(self._following.run)
             tasks.start_soon(self._news.run)
             loguru.logger.info("the daemon listens")
@@ -174,16 +173,13 @@
     )
 
 
-async def _serve(
+def _serve(
     tasks: anyio.abc.TaskGroup, address: str, server: server_module.Server
 ) -> None:
     """Listens on an address; an empty one is left out."""
     if not address:
         return
-    host, port = util.parse_address(address)
-    listener = await anyio.create_tcp_listener(
-        local_host=host, local_port=port, backlog=LISTEN_BACKLOG
-    )
+    listener = server_module.listen(*util.parse_address(address))
     tasks.start_soon(server.serve, listener)
 
 
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -43,8 +43,8 @@
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts to serve on a free port of the loopback address."""
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        listener = server_module.listen("127.0.0.1")
+        port = listener.getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         tasks.start_soon(server_module.Server(self._handle).serve, listener)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -19,8 +19,8 @@
 async def serving(handler, limits=LIMITS):
     """Yields a server and a function that connects to it."""
     server = server_module.Server(handler, lambda: limits)
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    listener = server_module.listen("127.0.0.1")
+    port = listener.getsockname()[1]
 
     async def connect():
         return await anyio.connect_tcp("127.0.0.1", port)
