--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -5,18 +5,15 @@
 sent on it, and a response without a length that ends in a reset is not whole.
 """
 
-import select
-from typing import NamedTuple
+import asyncio
+from typing import Any
 
 import anyio
-import anyio.abc
-import loguru
 
 from rattangauge import util
 from rattangauge.http import messages
 from rattangauge.http import parsing
 
-RECEIVE_BYTES = 65_536
 CONNECT_TIMEOUT_S = 1.0
 # Idle connections are closed this long before the upstream would do it.
 IDLE_MARGIN_S = 1.0
@@ -25,15 +22,8 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Responses to other requests that are skipped before a connection is given up.
 MAX_SKIPPED = 8
-# Bodies above this size are sent while the response is awaited.
-LARGE_BODY_BYTES = 32_768
 
 _BOUNDS = parsing.Bounds(MAX_HEADER_BYTES, MAX_RESPONSE_BYTES)
-_ENDED = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-)
 
 
 class NotSentError(Exception):
@@ -44,19 +34,81 @@
     """The request was sent and there is no whole response."""
 
 
-class _Idle(NamedTuple):
-    """A connection that waits for its next request."""
+class _Connection(asyncio.Protocol):
+    """One connection to the upstream.
 
-    stream: anyio.abc.SocketStream
-    until: float
+    Attributes:
+        is_open: Whether a request may be sent on it.
+        until: Time until which it may be used again.
+    """
 
+    def __init__(self) -> None:
+        self.is_open = False
+        self.until = 0.0
+        self._reader: parsing.ResponseReader | None = None
+        self._fault: Exception | None = None
+        self._changed = anyio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        self._transport: Any = transport
+        self.is_open = True
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of a response; those without a request end the use."""
+        if self._reader is None:
+            self.abort()
+            return
+        try:
+            self._reader.feed(data)
+        except parsing.SyntaxFault as fault:
+            self._fault = fault
+        self._changed.set()
+
+    def eof_received(self) -> bool:
+        """Takes the clean end of the connection; a reset is none."""
+        self.is_open = False
+        if self._reader is not None:
+            self._reader.end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the connection has ended."""
+        self.is_open = False
+        self._fault = self._fault or exc or EOFError("the connection ended")
+        self._changed.set()
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self.is_open = False
+        self._transport.abort()
+
+    def send(self, data: bytes) -> None:
+        """Sends a request; its responses are read from now on."""
+        self._reader = parsing.ResponseReader(_BOUNDS)
+        self._transport.write(data)
+
+    async def receive(self) -> messages.Response:
+        """Returns the next whole response.
 
-def _has_input(stream: anyio.abc.SocketStream) -> bool:
-    """Tells whether an idle connection has bytes or has ended."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+        Raises:
+            BrokenError: There is none.
+        """
+        assert self._reader is not None
+        while not self._reader.responses:
+            if self._fault is not None:
+                raise BrokenError(repr(self._fault))
+            self._changed = anyio.Event()
+            await self._changed.wait()
+        return self._reader.responses.popleft()
+
+    def finish(self) -> bool:
+        """Ends an exchange; returns whether the connection may be kept."""
+        reader, self._reader = self._reader, None
+        assert reader is not None
+        has_more = reader.has_begun or bool(reader.responses)
+        is_sent = not self._transport.get_write_buffer_size()
+        return self.is_open and is_sent and not has_more
 
 
 def _keep_alive_s(response: messages.Response) -> float:
@@ -80,18 +132,18 @@
         """
         self._address = address
         self._identity = identity
-        self._idle: list[_Idle] = []
+        self._idle: list[_Connection] = []
 
     @property
     def address(self) -> util.Address:
         """Address of the upstream."""
         return self._address
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
         """Closes the idle connections."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            await anyio.aclose_forcefully(connection.stream)
+            connection.abort()
 
     async def exchange(self, request: messages.Request) -> messages.Response:
         """Sends a request and returns its response.
@@ -100,105 +152,46 @@
             NotSentError: The upstream cannot be reached.
             BrokenError: There is no whole response.
         """
-        stream = await self._connect()
-        is_reusable = False
+        connection = await self._connect()
+        response = None
         try:
-            response, is_reusable = await self._exchange(stream, request)
-        except (*_ENDED, parsing.SyntaxFault) as error:
-            raise BrokenError(repr(error)) from error
+            connection.send(messages.encode_request(request))
+            response = await self._receive(connection, request)
         finally:
-            if not is_reusable:
-                await anyio.aclose_forcefully(stream)
-        if is_reusable:
+            is_reusable = connection.finish()
+            if response is None or not (is_reusable and response.keeps_alive):
+                connection.abort()
+        if connection.is_open:
             idle_s = _keep_alive_s(response) - IDLE_MARGIN_S
-            until = anyio.current_time() + idle_s
-            self._idle.append(_Idle(stream, until))
+            connection.until = anyio.current_time() + idle_s
+            self._idle.append(connection)
         return response
 
-    async def _connect(self) -> anyio.abc.SocketStream:
+    async def _connect(self) -> _Connection:
         now = anyio.current_time()
         while self._idle:
-            idle = self._idle.pop()
-            if now < idle.until and not _has_input(idle.stream):
-                return idle.stream
-            await anyio.aclose_forcefully(idle.stream)
+            connection = self._idle.pop()
+            if connection.is_open and now < connection.until:
+                return connection
+            connection.abort()
+        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                return await anyio.connect_tcp(
-                    self._address.host, self._address.port
+                _transport, connection = await loop.create_connection(
+                    _Connection, self._address.host, self._address.port
                 )
-        except (OSError, TimeoutError, AttributeError) as error:
-            # uvloop raises AttributeError for a connection that is reset while
-            # it is set up.
+        except (OSError, TimeoutError) as error:
             raise NotSentError(repr(error)) from error
-
-    async def _exchange(
-        self, stream: anyio.abc.SocketStream, request: messages.Request
-    ) -> tuple[messages.Response, bool]:
-        """Returns the response and whether the connection may be used again."""
-        data = messages.encode_request(request)
-        if len(request.body) <= LARGE_BODY_BYTES:
-            await stream.send(data)
-            return await self._receive(stream, request)
-        is_sent = False
-        received: list[tuple[messages.Response, bool]] = []
-
-        async def send() -> None:
-            nonlocal is_sent
-            try:
-                await stream.send(data)
-                is_sent = True
-            except _ENDED as error:
-                # The response, or its absence, tells what became of it.
-                loguru.logger.debug("a body was not sent whole: {!r}", error)
-
-        async def receive() -> None:
-            try:
-                received.append(await self._receive(stream, request))
-            except (*_ENDED, parsing.SyntaxFault, BrokenError) as error:
-                loguru.logger.debug("a response is not whole: {!r}", error)
-            tasks.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(send)
-            tasks.start_soon(receive)
-        if not received:
-            raise BrokenError("the connection ended inside the request")
-        response, is_reusable = received[0]
-        return response, is_reusable and is_sent
+        return connection
 
     async def _receive(
-        self, stream: anyio.abc.SocketStream, request: messages.Request
-    ) -> tuple[messages.Response, bool]:
+        self, connection: _Connection, request: messages.Request
+    ) -> messages.Response:
         """Receives the response of a request; skips those of others."""
         wanted = request.header(self._identity)
-        reader = parsing.ResponseReader(_BOUNDS)
         for _ in range(MAX_SKIPPED):
-            response = await _next_response(stream, reader)
+            response = await connection.receive()
             identity = response.header(self._identity)
             if not wanted or not identity or identity == wanted:
-                has_more = reader.has_begun or bool(reader.responses)
-                return response, response.keeps_alive and not has_more
+                return response
         raise BrokenError("the responses belong to other requests")
-
-
-async def _next_response(
-    stream: anyio.abc.SocketStream, reader: parsing.ResponseReader
-) -> messages.Response:
-    """Reads one whole response.
-
-    Raises:
-        anyio.EndOfStream: The connection ended before it was whole.
-        anyio.BrokenResourceError: The connection was reset.
-        parsing.SyntaxFault: The bytes are no response.
-    """
-    while not reader.responses:
-        try:
-            data = await stream.receive(RECEIVE_BYTES)
-        except anyio.EndOfStream:
-            reader.end()
-            if not reader.responses:
-                raise
-        else:
-            reader.feed(data)
-    return reader.responses.popleft()
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -13,7 +13,6 @@
 
 import anyio
 import anyio.abc
-from anyio.streams import buffered
 import loguru
 
 from rattangauge import errors
@@ -30,6 +29,7 @@
 # Pieces may be small, but each of them costs memory.
 MAX_WAITING_PIECES = 4096
 MAX_STREAMS = 20_000
+RECEIVE_BYTES = 65_536
 MAX_NUMBER = 2**32 - 1
 # The end that opened a connection closes it after this time without a stream.
 IDLE_S = 30.0
@@ -313,11 +313,12 @@
         await anyio.aclose_forcefully(self._bytes)
 
     async def _receive_all(self, tasks: anyio.abc.TaskGroup) -> None:
-        source = buffered.BufferedByteReceiveStream(self._bytes)
+        splitter = frames.Splitter()
         try:
-            while (frame := await frames.read(source)) is not None:
+            while (data := await self._receive_bytes(splitter)) is not None:
                 self._received_at = anyio.current_time()
-                self._dispatch(tasks, *frame)
+                for number, message in splitter.feed(data):
+                    self._dispatch(tasks, number, message)
         except errors.CodedError as error:
             loguru.logger.warning("closing a mesh connection: {}", error)
             await self._say_goodbye(error)
@@ -326,6 +327,20 @@
             text = "the connection was reset"
             self._fail(errors.CodedError(errorcodes.LINK_CLOSED, text))
 
+    async def _receive_bytes(self, splitter: frames.Splitter) -> bytes | None:
+        """Returns the next bytes; None if the stream ends between frames.
+
+        Raises:
+            errors.CodedError: The stream ends inside a frame.
+        """
+        try:
+            return await self._bytes.receive(RECEIVE_BYTES)
+        except anyio.EndOfStream as error:
+            if not splitter.is_inside:
+                return None
+            text = "the connection ended inside a frame"
+            raise errors.CodedError(errorcodes.FRAME_TRUNCATED, text) from error
+
     async def _say_goodbye(self, error: errors.CodedError) -> None:
         """Tells the other end why the connection is closed."""
         farewell = messages.AnswerFailed(code=error.code, message=str(error))
--- a/rattangauge/net/frames.py
+++ b/rattangauge/net/frames.py
@@ -1,5 +1,6 @@
 """Reads and writes frames on a byte stream."""
 
+from collections.abc import Iterator
 import struct
 
 import anyio
@@ -84,3 +85,34 @@
     number, message = unpack(payload)
     metrics.observe_received(message, HEAD.size + len(payload))
     return number, message
+
+
+class Splitter:
+    """Splits the bytes of a connection into frames."""
+
+    def __init__(self) -> None:
+        """Creates a splitter of a new connection."""
+        self._buffer = bytearray()
+
+    @property
+    def is_inside(self) -> bool:
+        """Whether a frame has begun and is not whole."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> Iterator[tuple[int, messages.Message]]:
+        """Takes bytes and yields the whole frames.
+
+        Raises:
+            errors.CodedError: The bytes are not a frame.
+        """
+        self._buffer += data
+        while len(self._buffer) >= HEAD.size:
+            length = payload_length(bytes(self._buffer[: HEAD.size]))
+            end = HEAD.size + length
+            if len(self._buffer) < end:
+                return
+            payload = bytes(self._buffer[HEAD.size : end])
+            del self._buffer[:end]
+            number, message = unpack(payload)
+            metrics.observe_received(message, end)
+            yield number, message
--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -127,7 +127,7 @@
         bound = WAITING_PER_SLOT * told.slots
         self._queue = waiting.Queue(told.slots, bound, anyio.current_time())
         if self._client is not None:
-            await self._client.aclose()
+            self._client.close()
         self._client = client_module.Client(
             told.address, self._dialect.request_id
         )
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -16,6 +16,12 @@
 OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nContent-Length: 2\r\n\r\nno"
 
 
+@pytest.fixture(params=[True, False])
+def anyio_backend(request):
+    """Runs each test on both event loops."""
+    return "asyncio", {"use_uvloop": request.param}
+
+
 def request(body=b"", method="GET"):
     headers = [(b"host", b"a"), (b"request-id", b"own")]
     if body:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -15,6 +15,12 @@
 )
 
 
+@pytest.fixture(params=[True, False])
+def anyio_backend(request):
+    """Runs each test on both event loops."""
+    return "asyncio", {"use_uvloop": request.param}
+
+
 @contextlib.asynccontextmanager
 async def serving(handler, limits=LIMITS):
     """Yields a server and a function that connects to it."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """Tests of daemons beside their upstreams, on the platform's protocol."""
 
 import anyio
+import pytest
 
 from rattangauge.http import messages
 from standins import appworker
@@ -10,6 +11,12 @@
 ORDER = meshes.path("/order/", "objednavky", kind="unsafe")
 
 
+@pytest.fixture
+def anyio_backend():
+    """Runs the daemons on the loop that they have on the platform."""
+    return "asyncio", {"use_uvloop": True}
+
+
 async def started(mesh, *names, **fields):
     """Adds instances of skladby and publishes the two routes."""
     mesh.publish([TRACK, ORDER])
