Ask the socket whether an answer without a length was reset

Change: at a clean end inside an answer without a length the socket is asked for its error and read once more.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -6,9 +6,12 @@
 """
 
 import asyncio
+import os
+import socket
 from typing import Any
 
 import anyio
+import loguru
 
 from rattangauge import util
 from rattangauge.http import messages
@@ -68,7 +71,7 @@
     def eof_received(self) -> bool:
         """Takes the clean end of the connection; a reset is none."""
         self.is_open = False
-        if self._reader is not None:
+        if self._reader is not None and not _was_reset(self._transport):
             self._reader.end()
         return False
 
@@ -111,6 +114,23 @@
         return self.is_open and is_sent and not has_more
 
 
+def _was_reset(transport: Any) -> bool:
+    """Tells whether a connection that has ended was reset.
+
+    uvloop reports a reset as a clean end if the socket hangs up before it is
+    read again; the socket itself still knows.
+    """
+    pseudo = transport.get_extra_info("socket")
+    try:
+        if pseudo.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return True
+        with socket.socket(fileno=os.dup(pseudo.fileno())) as duplicate:
+            return bool(duplicate.recv(1, socket.MSG_PEEK))
+    except OSError as error:
+        loguru.logger.debug("a connection was reset: {!r}", error)
+        return True
+
+
 def _keep_alive_s(response: messages.Response) -> float:
     """Returns the time for which the upstream keeps the connection."""
     for part in response.header(b"keep-alive").split(b","):
