Refuse at the caller's daemon what all instances report as hopeless

Change: a call is not sent where a report of at most 0.2 s says that the wait exceeds 1.5 times what makes sense; two daemons may refuse a call, not three. The patience of a call is one function for the queue and for the caller's daemon.

--- a/rattangauge/calls/waiting.py
+++ b/rattangauge/calls/waiting.py
@@ -109,6 +109,27 @@
     waiter: Waiter
 
 
+def patience_s(waiter: Waiter, hold_s: float, now: float) -> float:
+    """Returns the longest wait that still makes sense for a call, in seconds.
+
+    It is negative if the call cannot end by its deadline.
+
+    Args:
+        waiter: The call.
+        hold_s: Time that it will hold a slot.
+        now: Time.
+    """
+    longest_s = waiter.deadline - now - CAUTION * hold_s
+    if waiter.inner:
+        return longest_s
+    slack_s = waiter.target_at - now - hold_s
+    if slack_s > 0.0:
+        share = RETURNED_PATIENCE if waiter.returned else PATIENCE
+        return min(longest_s, share * slack_s)
+    left_s = max(0.0, waiter.deadline - now - hold_s)
+    return min(longest_s, LATE_PATIENCE * left_s)
+
+
 def _rank(waiter: Waiter) -> tuple[bool, int, bool]:
     return not waiter.inner, -waiter.priority, not waiter.returned
 
@@ -243,16 +264,7 @@
         A caller that may still come back is refused when the wait takes too
         much of its time; one that came back waits up to its deadline.
         """
-        hold_s = self.hold_s(waiter.kind)
-        if now + wait_s + CAUTION * hold_s > waiter.deadline:
-            return True
-        if waiter.inner:
-            return False
-        slack_s = waiter.target_at - now - hold_s
-        if slack_s > 0.0:
-            patience = RETURNED_PATIENCE if waiter.returned else PATIENCE
-            return wait_s > patience * slack_s
-        return wait_s > LATE_PATIENCE * (waiter.deadline - now - hold_s)
+        return wait_s > patience_s(waiter, self.hold_s(waiter.kind), now)
 
     def _refuse_hopeless(self, place: int, now: float) -> tuple[Waiter, ...]:
         """Removes the calls from a place on that wait without hope."""
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -14,6 +14,7 @@
 from rattangauge.calls import retry
 from rattangauge.calls import returns
 from rattangauge.calls import split as split_module
+from rattangauge.calls import waiting
 from rattangauge.config import edition as edition_module
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
@@ -28,7 +29,11 @@
 from rattangauge.sidecar import dialect as dialect_module
 
 # Instances that may refuse a call before it is refused to the caller.
-MAX_REFUSALS = 3
+MAX_REFUSALS = 2
+# A report of the load that is younger decides without asking the instance. It
+# must say that the wait exceeds what makes sense by a factor, as others end.
+FRESH_LOAD_S = 0.2
+EXCESS = 1.5
 # Retries of one daemon, which all daemons together must keep within a budget.
 RETRY_SHARE = 0.1
 RETRY_BURST = 4.0
@@ -274,6 +279,11 @@
         self._budget.add_call()
         progress = _Progress()
         while (peer := self._choose(call, progress.tried)) is not None:
+            if self._is_too_busy(call, peer):
+                text = "all instances report too long a wait"
+                code = errorcodes.CALL_OVERLOADED
+                progress.fail(exchange.not_run(code, text))
+                break
             progress.tried.add(peer.member.mesh)
             try:
                 answer = await self._attempt(call, peer)
@@ -305,6 +315,28 @@
             )
         )
 
+    def _is_too_busy(self, call: _Call, peer: peers_module.Peer) -> bool:
+        """Tells whether the best instance is known to refuse a call.
+
+        This saves the way there at a peak, when all daemons are busy.
+        """
+        now = anyio.current_time()
+        if peer is self._peers.own or peer.load_age_s(now) > FRESH_LOAD_S:
+            return False
+        candidate = peer.candidate(self._settings.instance.zone, now)
+        opened = call.request.open
+        waiter = waiting.Waiter(
+            0,
+            opened.route,
+            opened.priority,
+            opened.returned,
+            opened.inner,
+            call.target_at,
+            call.request.deadline,
+        )
+        longest_s = waiting.patience_s(waiter, candidate.hold_s, now)
+        return placement.wait_s(candidate) > EXCESS * max(0.0, longest_s)
+
     def _may_go_on(self, call: _Call, progress: _Progress) -> bool:
         """Tells whether a call may be sent to one more instance."""
         if progress.may_have_run and not call.request.open.idempotent:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,6 +5,7 @@
 
 from rattangauge.http import messages
 from standins import appworker
+from tests import builders
 from tests import meshes
 
 TRACK = meshes.path("/track/", "skladby")
@@ -168,6 +169,29 @@
         assert len(mesh.places["a"].worker.arrived) == 4
 
 
+async def test_a_peer_that_reports_a_long_wait_is_not_asked():
+    """Guards against work for refusals at a peak, when all are busy."""
+    async with meshes.running() as mesh:
+        await started(mesh, "a")
+        orders = await mesh.add("b", "objednavky")
+        await mesh.wait_ready()
+        await mesh.heartbeats()
+        place = mesh.places["a"]
+        peer = place.node._peers.get(orders.settings.listen.mesh)
+        busy = builders.load(running=4, queued=40, limit=4, service_us=100_000)
+        peer.report(busy, anyio.current_time())
+        status, headers, _body = await mesh.call("a", "/order/1", "POST")
+        assert status == 503
+        assert float(headers[b"retry-after"]) > 0
+        assert not orders.worker.arrived
+        assert not any(
+            event["event"] == "upstream_refused" for event in orders.events()
+        )
+        # An old report does not decide.
+        await anyio.sleep(0.3)
+        assert (await mesh.call("a", "/order/1", "POST"))[0] == 200
+
+
 async def test_a_safe_request_is_sent_again_after_a_lost_answer():
     async with meshes.running() as mesh:
         await started(mesh, "a", "b")
