--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -64,7 +64,7 @@
             return
         try:
             self._reader.feed(data)
-        except parsing.SyntaxFault as fault:
+        except parsing.MessageError as fault:
             self._fault = fault
         self._changed.set()
 
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -7,7 +7,7 @@
 from rattangauge.http import messages
 
 
-class SyntaxFault(Exception):  # noqa: N818 - a fault of the sender
+class MessageError(Exception):
     """Bytes that are not HTTP, or that exceed a limit.
 
     Attributes:
@@ -39,7 +39,7 @@
 
     def __init__(self, bounds: Bounds) -> None:
         self._bounds = bounds
-        self._fault: SyntaxFault | None = None
+        self._fault: MessageError | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -67,7 +67,7 @@
         return self._body_size
 
     def _stop(self, status: int, reason: str) -> None:
-        self._fault = SyntaxFault(status, reason)
+        self._fault = MessageError(status, reason)
         raise self._fault
 
     def _count(self, size: int) -> None:
@@ -104,9 +104,9 @@
         try:
             parser.feed_data(data)  # type: ignore[attr-defined]
         except httptools.HttpParserUpgrade as error:
-            raise SyntaxFault(400, "it asks for another protocol") from error
+            raise MessageError(400, "it asks for another protocol") from error
         except httptools.HttpParserError as error:
-            raise self._fault or SyntaxFault(400, str(error)) from error
+            raise self._fault or MessageError(400, str(error)) from error
 
 
 class RequestReader(_Reader):
@@ -153,7 +153,7 @@
             now: Time in seconds.
 
         Raises:
-            SyntaxFault: They are not HTTP, or exceed a limit.
+            MessageError: They are not HTTP, or exceed a limit.
         """
         self._now = now
         self._feed(self._parser, data)
@@ -162,7 +162,7 @@
             return
         self._unended += len(data)
         if self._unended > self._bounds.header_bytes:
-            raise SyntaxFault(431, "its headers do not end")
+            raise MessageError(431, "its headers do not end")
 
     def on_url(self, data: bytes) -> None:
         """Takes a part of the target."""
@@ -210,7 +210,7 @@
         """Takes bytes that came.
 
         Raises:
-            SyntaxFault: They are not HTTP, or exceed a limit.
+            MessageError: They are not HTTP, or exceed a limit.
         """
         self._feed(self._parser, data)
 
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -159,7 +159,7 @@
     def __init__(self, server: Server, tasks: anyio.abc.TaskGroup) -> None:
         self._server = server
         self._tasks = tasks
-        self._fault: parsing.SyntaxFault | None = None
+        self._fault: parsing.MessageError | None = None
         self._arrived = anyio.Event()
         self._scope = anyio.CancelScope()
         self._has_left = False
@@ -232,13 +232,13 @@
     def _take(self, data: bytes) -> None:
         try:
             self._reader.feed(data, anyio.current_time())
-        except parsing.SyntaxFault as fault:
+        except parsing.MessageError as fault:
             self._fault = fault
             return
         self._hold(self._reader.body_size)
         if self._server.held_bytes > MAX_HELD_BYTES:
             reason = "the daemon holds too many bodies"
-            self._fault = parsing.SyntaxFault(503, reason)
+            self._fault = parsing.MessageError(503, reason)
 
     async def _start_all(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the requests as they come."""
@@ -305,7 +305,7 @@
             if scope.cancelled_caught and not self._turns:
                 if self._reader.has_begun:
                     reason = "the request did not arrive in time"
-                    self._fault = parsing.SyntaxFault(408, reason)
+                    self._fault = parsing.MessageError(408, reason)
                 return None
         if not self._transport.is_reading():
             self._transport.resume_reading()
@@ -349,7 +349,7 @@
             loguru.logger.warning("a caller does not read its response")
             self._transport.abort()
 
-    async def _refuse(self, fault: parsing.SyntaxFault) -> None:
+    async def _refuse(self, fault: parsing.MessageError) -> None:
         """Answers a request that is not handled, and ends the connection."""
         loguru.logger.warning("a request is refused: {}", fault)
         await self._send(messages.Response(fault.status), "GET", False)
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -50,7 +50,7 @@
     opener = (
         links.long_stream(address)
         if is_long
-        else links.stream(address, "calls")
+        else links.stream(address, links_module.CALLS)
     )
     sent = False
     remaining = request.deadline - anyio.current_time()
--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -16,6 +16,8 @@
 
 BACKOFF_FIRST_S = 0.05
 BACKOFF_MAX_S = 1.0
+# Purpose of the connections that carry short calls.
+CALLS = "calls"
 
 Connection = connections.Connection
 Handler = connections.Handler
@@ -94,7 +96,7 @@
                 self._connections[key] = connection
         return connection
 
-    async def reach(self, address: str, purpose: str = "calls") -> None:
+    async def reach(self, address: str, purpose: str = CALLS) -> None:
         """Makes sure that the shared connection for a purpose is open.
 
         Raises:
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -18,7 +18,6 @@
 from rattangauge.config import edition as edition_module
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
-from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
@@ -26,6 +25,7 @@
 from rattangauge.net import forward
 from rattangauge.net import links as links_module
 from rattangauge.sidecar import beside as beside_module
+from rattangauge.sidecar import calllog
 from rattangauge.sidecar import dialect as dialect_module
 
 # Instances that may refuse a call before it is refused to the caller.
@@ -113,7 +113,7 @@
         self._links = links
         self._peers = peers
         self._beside = beside
-        self._log = log
+        self._log = calllog.CallLog(log)
         self._table: routes.RouteTable | None = None
         self._split = split_module.Split()
         self._budget = retry.Budget(RETRY_SHARE, RETRY_BURST)
@@ -167,7 +167,8 @@
             text = "the deadline is not a number"
             failure = exchange.not_run(errorcodes.CALL_BAD_HEADER, text)
             return self._deny(request, failure, 400)
-        self._record_begin(call)
+        opened = call.request.open
+        self._log.begun(call.request_id, opened, self._left_s(call))
         return await self._run(call)
 
     def _deny(
@@ -178,37 +179,16 @@
         retry_after_s: float = 0.0,
     ) -> http_messages.Response:
         """Answers a request that does not become a call."""
-        elapsed_s = anyio.current_time() - request.received_at
-        self._log.record(
-            logevents.CallFailed(
-                request=request.header(self._dialect.request_id).decode(
-                    "latin-1"
-                ),
-                version=self.version,
-                route="",
-                status=status,
-                code=failure.code,
-                reason=failure.message,
-                elapsed_ms=_ms(elapsed_s),
-                attempts=0,
-                retry_after_s=retry_after_s,
-            )
+        self._log.failed(
+            request.header(self._dialect.request_id).decode("latin-1"),
+            messages.CallOpen(version=self.version),
+            failure,
+            status,
+            request.received_at,
+            retry_after_s=retry_after_s,
         )
         return _refusal(status, failure.message, retry_after_s)
 
-    def _record_begin(self, call: _Call) -> None:
-        opened = call.request.open
-        self._log.record(
-            logevents.CallBegun(
-                request=call.request_id,
-                version=opened.version,
-                route=opened.route,
-                service=opened.service,
-                left_ms=int(self._left_s(call) * 1000),
-                returned=opened.returned,
-            )
-        )
-
     def _call(
         self, request: http_messages.Request, target: routes.Target
     ) -> _Call | None:
@@ -296,25 +276,16 @@
             if not self._may_go_on(call, progress):
                 break
         if progress.answer is not None:
-            self._record_end(call, progress, progress.answer)
+            self._log.ended(
+                call.request_id,
+                call.request.open,
+                progress.answer.status,
+                call.received_at,
+                len(progress.tried),
+            )
             return _response(progress.answer)
         return self._failed(call, progress)
 
-    def _record_end(
-        self, call: _Call, progress: _Progress, answer: messages.AnswerOpen
-    ) -> None:
-        elapsed_s = anyio.current_time() - call.received_at
-        self._log.record(
-            logevents.CallEnded(
-                request=call.request_id,
-                version=call.request.open.version,
-                route=call.request.open.route,
-                status=answer.status,
-                elapsed_ms=_ms(elapsed_s),
-                attempts=len(progress.tried),
-            )
-        )
-
     def _is_too_busy(self, call: _Call, peer: peers_module.Peer) -> bool:
         """Tells whether the best instance is known to refuse a call.
 
@@ -369,16 +340,8 @@
         chosen = placement.choose(candidates, demand, self._random)
         peer = self._peers.get(chosen.address) if chosen else None
         if chosen is not None and peer is not None:
-            self._log.record(
-                logevents.CallPlaced(
-                    request=call.request_id,
-                    peer=chosen.address,
-                    candidates=len(candidates),
-                    busy=chosen.busy,
-                    slots=chosen.slots,
-                    hold_ms=_ms(chosen.hold_s),
-                    load_age_ms=int(peer.load_age_s(now) * 1000),
-                )
+            self._log.placed(
+                call.request_id, chosen, len(candidates), peer.load_age_s(now)
             )
         return peer
 
@@ -402,7 +365,9 @@
                 await self._send(call, peer, respond)
         except exchange.CallFailed as failure:
             self._note_failure(peer, failure)
-            self._record_failure(call, peer, failure, began)
+            self._log.attempt_failed(
+                call.request_id, peer.member.mesh, failure, began
+            )
             raise
         except TimeoutError as error:
             text = "the deadline passed while the call ran"
@@ -417,24 +382,6 @@
         self._observe_size(call.request.open.route, len(answer.body))
         return answer
 
-    def _record_failure(
-        self,
-        call: _Call,
-        peer: peers_module.Peer,
-        failure: exchange.CallFailed,
-        began: float,
-    ) -> None:
-        self._log.record(
-            logevents.AttemptFailed(
-                request=call.request_id,
-                peer=peer.member.mesh,
-                code=failure.code,
-                outcome=failure.outcome.name.lower(),
-                reason=failure.message,
-                elapsed_ms=_ms(anyio.current_time() - began),
-            )
-        )
-
     def _left_s(self, call: _Call) -> float:
         return max(0.0, call.request.deadline - anyio.current_time())
 
@@ -483,18 +430,14 @@
             failure = exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text)
         failure = retry.settle(failure, progress.may_have_run)
         status, pause_s = self._verdict(call, failure)
-        self._log.record(
-            logevents.CallFailed(
-                request=call.request_id,
-                version=call.request.open.version,
-                route=call.request.open.route,
-                status=status,
-                code=failure.code,
-                reason=failure.message,
-                elapsed_ms=_ms(anyio.current_time() - call.received_at),
-                attempts=len(progress.tried),
-                retry_after_s=pause_s,
-            )
+        self._log.failed(
+            call.request_id,
+            call.request.open,
+            failure,
+            status,
+            call.received_at,
+            len(progress.tried),
+            pause_s,
         )
         return _refusal(status, str(failure), pause_s)
 
@@ -515,10 +458,6 @@
         return 503, pause_s
 
 
-def _ms(seconds: float) -> float:
-    return round(seconds * 1000, 1)
-
-
 def _response(answer: messages.AnswerOpen) -> http_messages.Response:
     headers = tuple((header.name, header.value) for header in answer.headers)
     return http_messages.Response(answer.status, headers, answer.body)
--- a/rattangauge/sidecar/following.py
+++ b/rattangauge/sidecar/following.py
@@ -177,7 +177,7 @@
         self, address: str, request: messages.EditionRequest
     ) -> edition_module.Edition | None:
         pieces = []
-        async with self._links.stream(address) as stream:
+        async with self._links.stream(address, links_module.CALLS) as stream:
             await stream.send(request)
             while True:
                 part = await stream.receive()
--- a/rattangauge/sidecar/news.py
+++ b/rattangauge/sidecar/news.py
@@ -152,7 +152,9 @@
         """Tells a peer; returns whether it answered."""
         news = self._update_own()
         try:
-            reply = await self._links.request(address, news, REPLY_TIMEOUT_S)
+            reply = await self._links.request(
+                address, news, REPLY_TIMEOUT_S, links_module.CALLS
+            )
         except errors.CodedError as error:
             self._note_lost(address, error)
             return False
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -1,7 +1,9 @@
 """Builds small meshes of real daemons in one process, for tests."""
 
 import contextlib
+import itertools
 import json
+import os
 import socket
 
 import anyio
@@ -21,11 +23,22 @@
 HOST = "shop.example"
 
 
+# Below the ports that the system gives to outgoing connections, on an address
+# of the loopback network that no other test process uses.
+_PORTS = itertools.count(10_000)
+_HOST = f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 256}.1"
+
+
 def free_address():
-    """Returns an address with a port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns an address with a port that is free."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((_HOST, port))
+            except OSError:
+                continue
+        return f"{_HOST}:{port}"
+    raise AssertionError("no port is free")
 
 
 def path(prefix, service, **fields):
