Tell calls of an upstream from requests of its instance by the parent's id

Cause: callers and the upstream of an instance send from one address, and each request from that address counted as a call of the upstream: it was never refused while it could end by its deadline. Ruled out: hold times that grow with the running calls (the same from 1 to 9). Change: a call counts as one of the upstream if its id names a request that runs there (the adapter knows the form); another form makes it an ordinary request. Two tests, the first fails before (0.285 s until the refusal).

--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -38,6 +38,7 @@
         # Waiting calls; the result says whether the call got a slot.
         self._turns: dict[int, asyncio.Future[bool]] = {}
         self._numbers = itertools.count(1)
+        self._request_ids: set[bytes] = set()
         self._is_stopping = False
 
     @property
@@ -71,6 +72,10 @@
         """Calls that run or wait."""
         return self._queue.running + self._queue.queued
 
+    def runs(self, request_id: bytes) -> bool:
+        """Tells whether the upstream runs a request."""
+        return request_id in self._request_ids
+
     async def take_heartbeat(self, told: heartbeats.Heartbeat) -> bool:
         """Takes a heartbeat; returns whether the peers should be told."""
         before = self._upstream
@@ -151,21 +156,24 @@
             text = f"the upstream does not run {opened.service}"
             raise self._refusal(request, text)
         waiter = self._waiter(request)
+        request_id = self._request_id(request)
         asked = began = time.monotonic()
         status = 0
         try:
             await self._wait(queue, waiter, request)
             began = time.monotonic()
+            self._request_ids.add(request_id)
             head = await self._exchange(client, upstream, request)
             status = head.status
         finally:
+            self._request_ids.discard(request_id)
             queue.withdraw(waiter)
             now = time.monotonic()
             held_s = now - began if status else 0.0
             self._settle(queue.finish(waiter, held_s, now))
         self._log.record(
             logevents.UpstreamRan(
-                request=self._request_id(request),
+                request=request_id.decode("latin-1"),
                 upstream=upstream.heartbeat.instance,
                 status=status,
                 waited_ms=round((began - asked) * 1000, 1),
@@ -225,11 +233,11 @@
         if not turn.done():
             turn.set_result(has_slot)
 
-    def _request_id(self, request: exchange.Request) -> str:
+    def _request_id(self, request: exchange.Request) -> bytes:
         for header in request.open.headers:
             if header.name == self._dialect.request_id:
-                return header.value.decode("latin-1")
-        return ""
+                return header.value
+        return b""
 
     def _refusal(
         self, request: exchange.Request, text: str
@@ -237,7 +245,7 @@
         load = self.load
         self._log.record(
             logevents.UpstreamRefused(
-                request=self._request_id(request),
+                request=self._request_id(request).decode("latin-1"),
                 reason=text,
                 running=load.running,
                 queued=load.queued,
--- a/rattangauge/sidecar/dialect.py
+++ b/rattangauge/sidecar/dialect.py
@@ -1,10 +1,11 @@
 """Names of the headers that callers, upstreams and the daemon exchange."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 
 class Dialect(NamedTuple):
-    """Header names in lower case; an adapter of a platform provides them.
+    """Header names in lower case and identities, from the adapter of a platform.
 
     Attributes:
         request_id: Identity of a request, the same in its response.
@@ -14,6 +15,8 @@
         not_run: Present in a response if the upstream did not run the request.
         seal: Proof of the upstream that it ran the request.
         instance: Identity of the upstream that answers a health check.
+        parent_id: Returns the identity of the request for which an upstream
+            makes a call, from that of the call; empty if there is none.
     """
 
     request_id: bytes
@@ -23,3 +26,4 @@
     not_run: bytes
     seal: bytes
     instance: bytes
+    parent_id: Callable[[bytes], bytes]
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -121,8 +121,6 @@
         self._numbers = itertools.count(1)
         self._answer_bytes: dict[str, float] = {}
         self._deadlines = deadlines_module.Deadlines()
-        upstream = settings.instance.upstream
-        self._upstream_host = upstream.rpartition(":")[0]
 
     @property
     def version(self) -> int:
@@ -198,7 +196,8 @@
             return None
         caller_ms = int(text) if text else timeout_ms
         name = target.route.name
-        inner = request.caller == self._upstream_host
+        request_id = request.header(self._dialect.request_id)
+        inner = self._beside.runs(self._dialect.parent_id(request_id))
         elapsed_ms = 0
         if not inner:
             elapsed_ms = self._deadlines.elapsed_ms(name, caller_ms)
@@ -226,7 +225,7 @@
         )
         deadline = request.received_at + left_ms / 1000
         return _Call(
-            request.header(self._dialect.request_id).decode("latin-1"),
+            request_id.decode("latin-1"),
             exchange.Request(opened, None, deadline),
             target,
             request.received_at,
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -401,3 +401,46 @@
             mesh.store.put("rattangauge-daemons", f"x{number}", spec)
         await started(mesh, "a")
         assert (await mesh.call("a", "/track/1"))[0] == 200
+
+
+async def _statuses(mesh, name, target, ids, **fields):
+    """Sends requests together; returns their statuses and times by id."""
+    answers = {}
+
+    async def send(request_id):
+        began = anyio.current_time()
+        status, _headers, _body = await mesh.call(
+            name, target, request_id=request_id, **fields
+        )
+        answers[request_id] = status, anyio.current_time() - began
+
+    async with anyio.create_task_group() as tasks:
+        for request_id in ids:
+            tasks.start_soon(send, request_id)
+            await anyio.sleep(0.01)
+    return answers
+
+
+async def test_a_request_from_the_instance_is_refused_at_once_at_a_peak():
+    """Guards against requests of the instance that wait until their deadline.
+
+    Callers and the upstream send from the same address: only a call for a
+    request that runs there must not be refused.
+    """
+    async with meshes.running() as mesh:
+        await started(mesh, "a", work_s=0.3)
+        await mesh.heartbeats(slots=1)
+        ids = [f"q{number}" for number in range(6)]
+        answers = await _statuses(mesh, "a", "/track/1", ids)
+        refused = [took for status, took in answers.values() if status == 503]
+        assert len(refused) >= 3
+        assert max(refused) < 0.2
+
+
+async def test_a_call_for_a_running_request_waits_for_its_slot():
+    """Guards against work that is lost because its own call is refused."""
+    async with meshes.running() as mesh:
+        await started(mesh, "a", work_s=0.3)
+        await mesh.heartbeats(slots=1)
+        answers = await _statuses(mesh, "a", "/track/1", ["q1", "q1.1"])
+        assert [status for status, _took in answers.values()] == [200, 200]
