--- a/rattangauge/sidecar/dialect.py
+++ b/rattangauge/sidecar/dialect.py
@@ -5,7 +5,7 @@
 
 
 class Dialect(NamedTuple):
-    """Header names in lower case and identities, from the adapter of a platform.
+    """Header names in lower case, and identities, from a platform's adapter.
 
     Attributes:
         request_id: Identity of a request, the same in its response.
