Refuse a call that waits too long before its deadline

Change: a call waits at most 1.5 times its longest sensible wait, and never into the time that it would need to run. One test, which fails without the limit.

--- a/rattangauge/calls/waiting.py
+++ b/rattangauge/calls/waiting.py
@@ -30,6 +30,9 @@
 # Share of the time to the deadline that a call waits that is late anyway: it
 # should not take the slot of one that can be in time.
 LATE_PATIENCE = 0.03
+# A call whose wait was estimated too short is refused after this multiple of
+# the longest wait that makes sense for it.
+OVERDUE = 1.5
 
 
 class Waiter(NamedTuple):
@@ -130,6 +133,20 @@
     return min(longest_s, LATE_PATIENCE * left_s)
 
 
+def give_up_at(waiter: Waiter, hold_s: float, now: float) -> float:
+    """Returns the time at which a call that still waits is refused.
+
+    It is before the deadline, so that the refusal reaches the caller in time.
+
+    Args:
+        waiter: The call, which begins to wait.
+        hold_s: Time that it will hold a slot.
+        now: Time.
+    """
+    longest_s = OVERDUE * patience_s(waiter, hold_s, now)
+    return min(now + max(0.0, longest_s), waiter.deadline - hold_s)
+
+
 def _rank(waiter: Waiter) -> tuple[bool, int, bool]:
     return not waiter.inner, -waiter.priority, not waiter.returned
 
--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -210,9 +210,12 @@
         turn = asyncio.get_running_loop().create_future()
         self._turns[waiter.number] = turn
         try:
-            self._settle(queue.offer(waiter, time.monotonic()))
+            now = time.monotonic()
+            self._settle(queue.offer(waiter, now))
             if not turn.done():
-                await futures.wait(turn, waiter.deadline)
+                hold_s = queue.hold_s(waiter.kind)
+                limit = waiting.give_up_at(waiter, hold_s, now)
+                await futures.wait(turn, limit)
             has_slot = turn.result()
         except TimeoutError:
             has_slot = False
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -173,3 +173,19 @@
     assert queue.offer(inner, now).refused == ()
     first = builders.waiter(0, deadline=0)
     assert queue.finish(first, 0.1, now).started == (inner,)
+
+
+def test_a_call_that_waits_too_long_is_refused_before_its_deadline():
+    """Guards against a call that ends without an answer in the queue.
+
+    Its refusal must reach the caller while the caller still waits.
+    """
+    late = builders.waiter(1, target_at=0.0, deadline=1.0)
+    in_time = builders.waiter(2, target_at=0.6, deadline=1.0)
+    inner = builders.waiter(3, inner=True, deadline=1.0)
+    limits = [
+        waiting.give_up_at(waiter, 0.1, 0.0)
+        for waiter in (late, in_time, inner)
+    ]
+    assert limits == sorted(limits)
+    assert 0.0 < limits[0] < limits[1] < limits[2] <= 0.9
