Send no calls as probes to a daemon that is cut off

A lost peer was tried again after a pause by calls, each of which waits 0.25 s for a connection, and calls went to a silent peer for 0.9 s. Change: after a second failure a peer gets calls only once it has answered news; the calls of one lost connection count as one failure; a ping unanswered for 0.15 s makes a peer suspect, so that it is chosen last. Tests for each.

--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -11,10 +11,9 @@
 from rattangauge.calls import placement
 from rattangauge.generated import messages
 
-# A peer that failed gets no calls for this time, which doubles with each
-# failure in a row.
+# A peer that failed gets no calls for this time. After a second failure in a
+# row it gets none until it has answered news: calls are no probes.
 PAUSE_S = 0.2
-MAX_PAUSE_S = 2.0
 
 # A report of the load is worth nothing after this time.
 LOAD_S = 3.0
@@ -87,9 +86,10 @@
 
     def failed(self, now: float) -> None:
         """Notes that it could not be reached, or that the way to it broke."""
-        pause_s = min(MAX_PAUSE_S, PAUSE_S * 2 ** min(self._failures, 8))
+        if now < self._paused_until:
+            return  # one lost connection fails all calls that it carries
         self._failures += 1
-        self._paused_until = now + pause_s
+        self._paused_until = math.inf if self._failures > 1 else now + PAUSE_S
 
     def refused(self, now: float) -> None:
         """Notes that it had no room for a call."""
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -31,6 +31,8 @@
 # The ping is sent at the latest two checks after the last byte, so that a
 # silent connection is found within the setting.
 PONG_SHARE = 0.75
+# A ping that is not answered in this time makes the other end suspect.
+SUSPECT_S = 0.15
 # Bytes of pongs that wait for a peer that does not read.
 MAX_UNREAD_BYTES = 16 * 1024 * 1024
 
@@ -318,6 +320,10 @@
             self._sequence += 1
             self.post(None, messages.LinkPing(self._sequence))
 
+    def is_suspect(self, now: float) -> bool:
+        """Tells whether the other end has left a ping unanswered for long."""
+        return self._pinged_at is not None and now - self._pinged_at > SUSPECT_S
+
     def _is_silent(self, now: float) -> bool:
         if self._pinged_at is None:
             return False
--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -107,6 +107,13 @@
                 self._connections[key] = connection
         return connection
 
+    def is_suspect(self, address: str) -> bool:
+        """Tells whether the daemon at an address leaves a ping unanswered."""
+        connection = self._connections.get((address, CALLS))
+        if connection is None or not connection.is_open:
+            return False
+        return connection.is_suspect(time.monotonic())
+
     @contextlib.asynccontextmanager
     async def stream(
         self, address: str, purpose: str = "control"
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -326,9 +326,8 @@
     def _choose(self, call: _Call, tried: set[str]) -> peers_module.Peer | None:
         opened = call.request.open
         now = time.monotonic()
-        zone = self._settings.instance.zone
         candidates = [
-            peer.candidate(zone, now)
+            self._candidate(peer, now)
             for peer in self._peers.serving(opened.service)
             if peer.member.mesh not in tried
         ]
@@ -343,6 +342,14 @@
             )
         return peer
 
+    def _candidate(
+        self, peer: peers_module.Peer, now: float
+    ) -> placement.Candidate:
+        candidate = peer.candidate(self._settings.instance.zone, now)
+        if self._links.is_suspect(peer.member.mesh):
+            return candidate._replace(is_ill=True)
+        return candidate
+
     async def _attempt(
         self, call: _Call, peer: peers_module.Peer
     ) -> messages.AnswerOpen:
--- a/rattangauge/sidecar/news.py
+++ b/rattangauge/sidecar/news.py
@@ -23,7 +23,7 @@
 OTHER_ZONE_FACTOR = 2.0
 # A peer that cannot be reached is tried again after this time.
 RETRY_S = 0.3
-MAX_RETRY_S = 2.0
+MAX_RETRY_S = 1.0
 # A peer that was not reached for this time is forgotten; the directory names
 # it again if it is there.
 FORGET_S = 60.0
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -140,6 +140,23 @@
     assert isinstance(failure, forward.LinkLost)
 
 
+async def test_a_silent_peer_is_suspect_before_it_is_given_up():
+    """Guards against new calls to a daemon that has just been cut off."""
+
+    async def script(peer):
+        await peer.receive(messages.CallOpen)
+        await anyio.sleep_forever()
+
+    async with peers.scripted(script) as address:
+        async with peers.pool(silence_s=2.0) as links:
+            assert not links.is_suspect(address)
+            async with links.stream(address, links_module.CALLS) as stream:
+                await stream.send(peers.request().open)
+                with anyio.fail_after(1.5):
+                    while not links.is_suspect(address):
+                        await anyio.sleep(0.01)
+
+
 async def test_idle_silent_connection_is_closed():
     """Guards against reusing an idle connection that carries no data."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -85,6 +85,25 @@
     assert not peer.is_ill(2.1)
 
 
+def test_calls_do_not_probe_a_peer_that_failed_twice():
+    """Guards against calls that wait for a zone that is cut off."""
+    peer = table_with().get(OTHER)
+    peer.failed(1.0)
+    peer.failed(2.0)
+    assert peer.is_ill(60.0)
+    peer.reached()
+    assert not peer.is_ill(60.0)
+
+
+def test_the_calls_of_one_lost_connection_are_one_failure():
+    """Guards against leaving a peer alone after a single reset."""
+    peer = table_with().get(OTHER)
+    for _ in range(9):
+        peer.failed(1.0)
+    assert peer.failures == 1
+    assert not peer.is_ill(1.0 + peers.PAUSE_S + 0.01)
+
+
 def test_an_upstream_that_fails_its_calls_is_ill_until_it_serves_again():
     """Guards against an upstream that fails calls while its health is good."""
     peer = table_with().get(OTHER)
