Refuse requests in the last part of a planned stop

Change: 2.5 s after the signal, when callers had time to turn away, requests are refused as not run, so that all that were taken can end and the daemon is back sooner. Test: fails before (502 at the end).

--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -38,7 +38,8 @@
 RETRY_BURST = 4.0
 # A retry with less time than this cannot end in time.
 MIN_RETRY_S = 0.02
-# Time after which a caller returns to a daemon without a configuration.
+# Time after which a caller returns to a daemon that cannot take requests yet
+# or any more.
 NOT_READY_S = 0.5
 # Weight of a new measurement of the size of the answers of a route.
 SIZE_WEIGHT = 0.1
@@ -115,6 +116,7 @@
         self._log = calllog.CallLog(log)
         self._table: routes.RouteTable | None = None
         self._limits = server_module.Limits()
+        self._is_stopping = False
         self._split = split_module.Split()
         self._budget = retry.Budget(RETRY_SHARE, RETRY_BURST)
         self._random = random_module.Random()
@@ -143,12 +145,18 @@
             idle_s=limits.idle_timeout_ms / 1000,
         )
 
+    def stop(self) -> None:
+        """Refuses all requests from now on."""
+        self._is_stopping = True
+
     async def handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
         """Answers a request of a caller."""
-        if self._table is None:
+        if self._table is None or self._is_stopping:
             text = "no configuration is in force yet"
+            if self._is_stopping:
+                text = "the daemon stops"
             failure = exchange.not_run(errorcodes.CALL_NOT_READY, text)
             return self._deny(request, failure, 503, NOT_READY_S)
         path = request.target.partition("?")[0]
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -29,6 +29,7 @@
 from rattangauge.sidecar import stores
 
 # After the signal to stop, callers need this time to turn to other daemons.
+# Then requests are refused, so that none is cut off at the end.
 ANNOUNCE_S = 2.5
 STOP_CHECK_S = 0.05
 
@@ -112,6 +113,8 @@
         began = time.monotonic()
         limit_s = self._settings.shutdown.limit_s
         while (elapsed_s := time.monotonic() - began) < limit_s:
+            if elapsed_s >= ANNOUNCE_S:
+                self._dispatch.stop()
             is_idle = not self._callers.busy and not self._beside.running
             if is_idle and elapsed_s >= ANNOUNCE_S:
                 return
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -221,10 +221,17 @@
         await self._stream.send(data + self._parser.send(h11.EndOfMessage()))
 
     async def receive(self):
-        """Returns status, headers and body of the next response."""
+        """Returns status, headers and body of the next response.
+
+        Raises:
+            anyio.EndOfStream: The connection ended before it.
+        """
         head, pieces = None, []
         while True:
-            event = self._parser.next_event()
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise anyio.EndOfStream from error
             if event is h11.NEED_DATA:
                 try:
                     data = await self._stream.receive()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,5 +1,7 @@
 """Tests of daemons beside their upstreams, on the platform's protocol."""
 
+import contextlib
+
 import anyio
 import pytest
 
@@ -11,6 +13,9 @@
 TRACK = meshes.path("/track/", "skladby")
 ORDER = meshes.path("/order/", "objednavky", kind="unsafe")
 
+# A caller sees these when the daemon ends before it reads a request.
+NO_ANSWER = (anyio.EndOfStream, anyio.BrokenResourceError)
+
 
 @pytest.fixture
 def anyio_backend():
@@ -444,3 +449,29 @@
         await mesh.heartbeats(slots=1)
         answers = await _statuses(mesh, "a", "/track/1", ["q1", "q1.1"])
         assert [status for status, _took in answers.values()] == [200, 200]
+
+
+async def test_a_stop_ends_though_callers_keep_sending():
+    """Guards against requests that are cut off at the end of a stop.
+
+    Callers that do not turn to other daemons must be refused early enough.
+    """
+    async with meshes.running() as mesh:
+        await started(mesh, "a", "b", work_s=0.3)
+        place = mesh.places["a"]
+        place.node.stop()
+        began = anyio.current_time()
+        statuses = []
+
+        async def send_on():
+            with contextlib.suppress(OSError, *NO_ANSWER):
+                while True:
+                    answer = await mesh.call("a", "/track/1")
+                    statuses.append(answer[0])
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(4):
+                tasks.start_soon(send_on)
+                await anyio.sleep(0.07)
+        assert set(statuses) == {200, 503}
+        assert anyio.current_time() - began < place.settings.shutdown.limit_s
