Bound the hold time of an upstream that does not answer

The mean hold time is time spent for each call that ended; while calls run and none ends for seconds, the count of those that ended goes to zero, and 19,927 s do not fit into the message. Change: the hold time is at most 60 s. Test: fails before, passes after.

--- a/rattangauge/calls/waiting.py
+++ b/rattangauge/calls/waiting.py
@@ -16,6 +16,8 @@
 # Hold time of a slot that is assumed before any is known, in seconds.
 DEFAULT_HOLD_S = 0.05
 HOLD_WEIGHT = 0.1
+# An upstream whose calls do not end counts as this slow at most.
+MAX_HOLD_S = 60.0
 # Time over which the mean hold time of all calls is taken, in seconds.
 MEMORY_S = 0.4
 # An upstream without a call for this time counts as unmeasured.
@@ -82,6 +84,8 @@
     @property
     def hold_s(self) -> float:
         """Mean time that a call holds a slot, in seconds."""
+        if self._spent_s >= MAX_HOLD_S * self._ended:
+            return MAX_HOLD_S
         return self._spent_s / self._ended
 
     def advance(self, running: int, now: float) -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rattangauge.calls import waiting
+from rattangauge.generated import messages
 from tests import builders
 
 SLOTS = 2
@@ -189,3 +190,17 @@
     ]
     assert limits == sorted(limits)
     assert 0.0 < limits[0] < limits[1] < limits[2] <= 0.9
+
+
+def test_the_hold_time_of_an_upstream_that_hangs_is_bounded():
+    """Guards against a load that no message can hold (hunt, gdw-mesh).
+
+    A daemon ended by itself when its upstream had not answered for seconds.
+    """
+    queue, now = queue_with_running(SLOTS)
+    for step in range(1, 60):
+        queue.offer(builders.waiter(100 + step, deadline=0.0), now + step)
+    assert queue.measured_hold_s(now + 60) == waiting.MAX_HOLD_S
+    load = builders.load(service_us=int(queue.mean_hold_s * 1e6))
+    message = messages.PeerNews(load=load)
+    assert messages.decode(messages.encode(1, message))[1] == message
