--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -289,3 +289,21 @@
         path.write_text("nonsense = ")
         reload()
         assert client.base_url.host == "10.0.0.2"
+
+
+async def test_a_change_to_tls_needs_a_restart(tmp_path):
+    """Guards against a store that is reached without checked certificates."""
+    path = tmp_path / "node.toml"
+    path.write_text(filled_template())
+    settings = settings_module.load(path)
+    async with daemon._store_client(settings) as client:
+        reload = daemon._Reload(path, settings, client)
+        secure = filled_template().replace(
+            "http://10.0.0.1:80", "https://10.0.0.2:443"
+        )
+        path.write_text(secure)
+        reload()
+        assert (client.base_url.scheme, client.base_url.host) == (
+            "http",
+            "10.0.0.1",
+        )
