Bound the news and idle pings that a daemon sends in a large fleet

Change: a daemon begins at most 20 exchanges of news a second and sends at most 20 idle pings; 11 daemons do as before. Tests for both.

--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -31,6 +31,8 @@
 # The ping is sent at the latest two checks after the last byte, so that a
 # silent connection is found within the setting.
 PONG_SHARE = 0.75
+# Pings of idle connections that a daemon sends in a second, at most.
+IDLE_PINGS_PER_S = 20.0
 # A ping that is not answered in this time makes the other end suspect.
 SUSPECT_S = 0.15
 # Bytes of pongs that wait for a peer that does not read.
@@ -54,6 +56,11 @@
         self.tasks = futures.Tasks()
         self._open: set[Connection] = set()
 
+    @property
+    def idle_period_s(self) -> float:
+        """Time between two pings of an idle connection, in seconds."""
+        return max(self.silence_s, len(self._open) / IDLE_PINGS_PER_S)
+
     def add(self, connection: "Connection") -> None:
         """Takes a new connection."""
         self._open.add(connection)
@@ -330,14 +337,13 @@
         return now - self._pinged_at >= self._owner.silence_s * PONG_SHARE
 
     def _is_ping_due(self, now: float) -> bool:
-        silence_s = self._owner.silence_s
         quiet_s = now - self._received_at
         if self.stream_count:
-            return quiet_s >= silence_s / CHECKS_PER_SILENCE
+            return quiet_s >= self._owner.silence_s / CHECKS_PER_SILENCE
         # An idle connection is kept alive by the pings of its opener; the
         # other end pings only when these stay away.
         factor = 1 if self._handler is None else 3
-        return quiet_s >= factor * silence_s
+        return quiet_s >= factor * self._owner.idle_period_s
 
     def _is_idle(self, now: float) -> bool:
         is_opener = self._handler is None
--- a/rattangauge/sidecar/news.py
+++ b/rattangauge/sidecar/news.py
@@ -19,6 +19,9 @@
 from rattangauge.sidecar import stores
 
 REPLY_TIMEOUT_S = 0.5
+# Exchanges that a daemon begins in a second; in a larger fleet each peer hears
+# less often, and learns the load of the others from their answers.
+NEWS_PER_S = 20.0
 # Another zone hears less often: bytes between zones cost more.
 OTHER_ZONE_FACTOR = 2.0
 # A peer that cannot be reached is tried again after this time.
@@ -31,6 +34,19 @@
 DIRECTORY_RETRY_S = 0.3
 
 
+def news_period_s(least_s: float, peers: int) -> float:
+    """Returns the time between two exchanges with one peer, in seconds.
+
+    Args:
+        least_s: Period of a small fleet.
+        peers: Daemons of the fleet.
+
+    >>> news_period_s(1.0, 11), news_period_s(1.0, 100)
+    (1.0, 5.0)
+    """
+    return max(least_s, peers / NEWS_PER_S)
+
+
 class News:
     """Exchanges news with all peers."""
 
@@ -143,7 +159,9 @@
         loguru.logger.info("peer {} is forgotten", address)
 
     def _period_s(self, peer: peers_module.Peer) -> float:
-        period_s = self._settings.mesh.news_period_s
+        period_s = news_period_s(
+            self._settings.mesh.news_period_s, len(self._peers)
+        )
         if peer.member.zone != self._settings.instance.zone:
             period_s *= OTHER_ZONE_FACTOR
         return period_s * self._random.uniform(0.8, 1.2)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -9,6 +9,7 @@
 from rattangauge import errors
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.net import connections
 from rattangauge.net import frames
 from tests import peers
 
@@ -125,3 +126,13 @@
             await peer.send(1, messages.Probe())
             with anyio.fail_after(30):
                 assert (await peer.receive())[1].reached
+
+
+def test_idle_pings_of_many_connections_are_bounded():
+    """Guards against pings that grow with the square of the fleet."""
+    owner = connections.Connections(1.0)
+    assert owner.idle_period_s == 1.0
+    for _ in range(200):
+        owner.add(connections.Connection(owner))
+    pings_per_s = 200 / owner.idle_period_s
+    assert pings_per_s <= connections.IDLE_PINGS_PER_S
