Keep daemons alive on connections that have just ended; end stops with unread bodies

(3) the callers' stand-in took a connection that is reset while it is set up as an error of its own, and the upstream's had no counter before its first call (KeyError: begun). Ruled out: an open call at the daemon that did not stop; BODY_IDLE_S. Change: connections look at the transport before they write; an early answer reads the rest of the body until it is sent; callers share the backend that reports early resets; counters begin at zero.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -44,21 +44,26 @@
     """One connection to the upstream.
 
     Attributes:
-        is_open: Whether a request may be sent on it.
         until: Time until which it may be used again.
     """
 
     def __init__(self) -> None:
-        self.is_open = False
+        self._has_ended = False
         self.until = 0.0
         self._reader: parsing.ResponseReader | None = None
         self._fault: Exception | None = None
         self._receiver: asyncio.Future[None] | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a request may be sent on it."""
+        # uvloop refuses writes from the end of a connection on, which is
+        # before it reports the end.
+        return not self._has_ended and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the transport."""
         self._transport: Any = transport
-        self.is_open = True
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of a response; those without a request end the use."""
@@ -73,20 +78,20 @@
 
     def eof_received(self) -> bool:
         """Takes the clean end of the connection; a reset is none."""
-        self.is_open = False
+        self._has_ended = True
         if self._reader is not None and not _was_reset(self._transport):
             self._reader.end()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notes that the connection has ended."""
-        self.is_open = False
+        self._has_ended = True
         self._fault = self._fault or exc or EOFError("the connection ended")
         futures.wake(self._receiver)
 
     def abort(self) -> None:
         """Ends the connection at once."""
-        self.is_open = False
+        self._has_ended = True
         self._transport.abort()
 
     def send(self, data: bytes) -> None:
@@ -213,6 +218,8 @@
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(repr(error)) from error
+        if not connection.is_open:
+            raise NotSentError("the connection was reset while it was set up")
         return connection
 
     async def _receive(
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -305,7 +305,7 @@
             self._told_continue = False
         elif not self._told_continue:
             self._told_continue = True
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _limit_wait(self) -> None:
         """Bounds the wait for the next bytes of the caller."""
@@ -369,7 +369,13 @@
         if not keeps_alive:
             headers.append((b"connection", b"close"))
         whole = messages.Response(response.status, tuple(headers), body)
-        self._transport.write(messages.encode_response(whole))
+        self._write(messages.encode_response(whole))
+
+    def _write(self, data: bytes) -> None:
+        # uvloop refuses writes from the end of a connection on, which is
+        # before it reports the end.
+        if not self._transport.is_closing():
+            self._transport.write(data)
 
     def _refuse(self, fault: parsing.MessageError) -> None:
         """Answers a request that is not handled, and ends the connection."""
@@ -377,7 +383,7 @@
         self._fault = fault
         self._is_ending = True
         self._send(messages.Response(fault.status), "GET", False)
-        if self._transport.can_write_eof():
+        if self._transport.can_write_eof() and not self._transport.is_closing():
             self._transport.write_eof()
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self._transport.close)
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -115,7 +115,9 @@
     @property
     def is_open(self) -> bool:
         """Whether messages can be sent."""
-        return self._error is None
+        # uvloop refuses writes from the end of a connection on, which is
+        # before it reports the end.
+        return self._error is None and not self._transport.is_closing()
 
     @property
     def stream_count(self) -> int:
@@ -164,8 +166,8 @@
 
     def check_open(self) -> None:
         """Raises the error that ended the connection, if it has ended."""
-        if self._error is not None:
-            raise self._error
+        if not self.is_open:
+            raise self.closed_error()
 
     def open_stream(self) -> streams.Stream:
         """Opens a stream towards the other end."""
@@ -232,11 +234,12 @@
 
     def _reject(self, error: errors.CodedError) -> None:
         """Tells the other end why the connection is closed, and closes it."""
-        if not self.is_open:
+        if self._error is not None:
             return
         loguru.logger.warning("closing a mesh connection: {}", error)
         farewell = messages.AnswerFailed(code=error.code, message=str(error))
-        self._transport.write(frames.pack(0, farewell))
+        if not self._transport.is_closing():
+            self._transport.write(frames.pack(0, farewell))
         self._transport.close()
         self._fail(error, is_aborted=False)
 
@@ -278,7 +281,8 @@
 
     def _pong(self, sequence: int) -> None:
         """Answers a ping, unless the other end does not read."""
-        if self._transport.get_write_buffer_size() < MAX_UNREAD_BYTES:
+        unread_bytes = self._transport.get_write_buffer_size()
+        if self.is_open and unread_bytes < MAX_UNREAD_BYTES:
             self.post(None, messages.LinkPong(sequence))
 
     def _accept(self, number: int, message: messages.Message) -> None:
@@ -322,7 +326,7 @@
             self._fail(errors.CodedError(errorcodes.LINK_SILENT, text))
         elif self._is_idle(now):
             self.close()
-        elif self._pinged_at is None and self._is_ping_due(now):
+        elif self.is_open and self._pinged_at is None and self._is_ping_due(now):
             self._pinged_at = now
             self._sequence += 1
             self.post(None, messages.LinkPing(self._sequence))
--- a/rattangauge/net/ingress.py
+++ b/rattangauge/net/ingress.py
@@ -219,9 +219,22 @@
 
     async def send_body(self, body: bytes, more: bool) -> None:
         """Sends a piece of the body of an answer."""
-        await self._send(
-            {"type": "http.response.body", "body": body, "more_body": more}
-        )
+        event = {"type": "http.response.body", "body": body, "more_body": more}
+        if more or self.body_received:
+            await self._send(event)
+            return
+        # The HTTP server ends an answer only when its queue of pieces of the
+        # request has room, so what nobody reads any more is read here.
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._discard_body)
+            await self._send(event)
+            tasks.cancel_scope.cancel()
+
+    async def _discard_body(self) -> None:
+        while self._more_body:
+            event = await self._receive()
+            is_last = event["type"] == "http.disconnect"
+            self._more_body = not is_last and event.get("more_body", False)
 
     async def fail(self, failure: exchange.CallFailed) -> None:
         """Sends a failure to the caller."""
--- a/rattangauge/net/upstream.py
+++ b/rattangauge/net/upstream.py
@@ -13,6 +13,7 @@
 from rattangauge.calls import exchange
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.net import backend
 
 # An upstream that answers with this header did not run the call.
 OUTCOME_HEADER = b"rattangauge-outcome"
@@ -42,30 +43,6 @@
 )
 
 
-class _Backend(httpcore.AnyIOBackend):
-    """Reports connections that are reset while they are set up.
-
-    With uvloop, httpcore raises AttributeError for them when it asks the
-    closed transport for its addresses.
-    """
-
-    async def connect_tcp(
-        self, *args: Any, **kwargs: Any
-    ) -> httpcore.AsyncNetworkStream:
-        """Opens a connection.
-
-        Raises:
-            httpcore.ConnectError: It could not be opened, or is reset already.
-        """
-        stream = await super().connect_tcp(*args, **kwargs)
-        try:
-            stream.get_extra_info("ssl_object")
-        except AttributeError as error:
-            text = "the connection was reset while it was set up"
-            raise httpcore.ConnectError(text) from error
-        return stream
-
-
 class Announcement(NamedTuple):
     """What an upstream tells its daemon about itself.
 
@@ -204,7 +181,7 @@
             max_connections=announcement.connections,
             max_keepalive_connections=announcement.connections,
             keepalive_expiry=60.0,
-            network_backend=_Backend(),
+            network_backend=backend.Backend(),
         )
 
     async def aclose(self) -> None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -20,6 +20,15 @@
 from standins import serving
 
 ANNOUNCEMENT_PERIOD_S = 1.0
+# What ``GET /counters`` counts besides the runs by idempotency key.
+COUNTERS = (
+    "announcements_failed",
+    "begun",
+    "cancelled",
+    "cut_off",
+    "finished",
+    "shed",
+)
 SHED_HEADERS = [(b"rattangauge-outcome", b"not-run"), (b"content-length", b"0")]
 
 
@@ -53,7 +62,7 @@
         self._running = 0
         self._peak = 0
         self._runs: collections.Counter[str] = collections.Counter()
-        self._counters: collections.Counter[str] = collections.Counter()
+        self._counters = dict.fromkeys(COUNTERS, 0)
 
     async def announce(self) -> None:
         """Announces the instance to its daemon until cancelled."""
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -1,9 +1,11 @@
 """The caller stand-in and its checks."""
 
+import httpcore
 import pytest
 
 from standins import caller as caller_module
 from tests import builders
+from tests import test_upstream_reset
 from tools import fleet as fleet_module
 
 pytestmark = pytest.mark.anyio
@@ -58,3 +60,19 @@
         )
         async with caller_module.Caller([address], 2) as caller:
             assert (await caller.call(slow)).outcome == caller_module.ANSWERED
+
+
+async def test_connections_reset_early_are_calls_that_did_not_run(monkeypatch):
+    """Guards against a chaos run that ends in its own callers.
+
+    With uvloop, a connection that is reset while it is set up makes the HTTP
+    library raise AttributeError, before any byte of the request is sent.
+    """
+
+    async def connect(_backend, *_args, **_kwargs):
+        return test_upstream_reset.ResetStream()
+
+    monkeypatch.setattr(httpcore.AnyIOBackend, "connect_tcp", connect)
+    async with caller_module.Caller(["127.0.0.1:1"], 1) as caller:
+        result = await caller.call(CALL)
+    assert result.outcome == caller_module.NOT_RUN
--- /dev/null
+++ b/tests/test_closed_transports.py
@@ -0,0 +1,110 @@
+"""Connections that have ended while their end is not reported yet.
+
+uvloop refuses writes from the end of a connection on and reports the end one
+turn of the loop later. An error in between ended the whole daemon (quiet day of
+the grown hlasy-mesh: ``RuntimeError: the handler is closed``).
+"""
+
+import time
+import types
+
+import pytest
+
+from rattangauge import errors
+from rattangauge import util
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages
+from rattangauge.http import client as client_module
+from rattangauge.http import messages as http_messages
+from rattangauge.http import parsing
+from rattangauge.http import server as server_module
+from rattangauge.net import connections as connections_module
+
+pytestmark = pytest.mark.anyio
+
+SILENCE_S = 1.0
+
+
+class EndedTransport:
+    """A transport of uvloop whose connection has ended."""
+
+    def is_closing(self):
+        """Tells of the end."""
+        return True
+
+    def write(self, _data):
+        """Fails as uvloop does."""
+        raise RuntimeError("the handler is closed")
+
+    write_eof = write
+
+    def get_write_buffer_size(self):
+        """Has nothing to send."""
+        return 0
+
+    def can_write_eof(self):
+        """Could be closed in one direction."""
+        return True
+
+    def get_extra_info(self, _name):
+        """Knows nothing of the other end."""
+        return None
+
+    def close(self):
+        """Does nothing: it has ended."""
+
+    abort = close
+
+
+def open_connection():
+    owner = connections_module.Connections(SILENCE_S)
+    connection = connections_module.Connection(owner)
+    connection.connection_made(EndedTransport())
+    return connection
+
+
+def test_a_check_does_not_ping_on_an_ended_connection():
+    """Guards against a daemon that ends in the check of its connections."""
+    connection = open_connection()
+    connection.check(time.monotonic() + 20 * SILENCE_S, False)
+    assert not connection.is_open
+
+
+def test_a_message_on_an_ended_connection_is_a_coded_error():
+    """Guards against a call that fails without a reason and an outcome."""
+    connection = open_connection()
+    with pytest.raises(errors.CodedError) as caught:
+        connection.post(None, messages.LinkPing(1))
+    assert caught.value.code == errorcodes.LINK_CLOSED
+    with pytest.raises(errors.CodedError):
+        connection.open_stream()
+
+
+async def test_a_request_is_not_sent_on_an_ended_connection(monkeypatch):
+    """Guards against a call whose caller is cut off without an answer."""
+    client = client_module.Client(util.Address("127.0.0.1", 1), b"request-id")
+
+    async def create_connection(factory, *_address):
+        protocol = factory()
+        protocol.connection_made(EndedTransport())
+        return None, protocol
+
+    loop = types.SimpleNamespace(create_connection=create_connection)
+    monkeypatch.setattr(
+        client_module.asyncio, "get_running_loop", lambda: loop
+    )
+    request = http_messages.Request("GET", "/", (), b"")
+    with pytest.raises(client_module.NotSentError):
+        await client.exchange(request)
+
+
+async def test_a_refusal_on_an_ended_connection_is_not_sent():
+    """Guards against an error in the timer that refuses a late request."""
+
+    async def handle(_request):
+        raise AssertionError("there is no request")
+
+    server = server_module.Server(handle)
+    connection = server_module._Connection(server)  # no public way to a timer
+    connection.connection_made(EndedTransport())
+    connection._refuse(parsing.MessageError(408, "late"))
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -1,5 +1,8 @@
 """Requests on the callers' port that are too large or never whole."""
 
+import contextlib
+import signal
+
 import anyio
 import pytest
 
@@ -77,6 +80,32 @@
             assert await fleet.stop("a") == 0
 
 
+async def test_an_answer_before_the_whole_body_does_not_hold_a_daemon():
+    """Guards against a shutdown that waits for a body nobody reads.
+
+    The HTTP server queues a few pieces of a body; with the queue full, the end
+    of an early answer waits for room in it (chaos seed 43).
+    """
+    async with test_once.mesh() as (fleet, _client):
+        host, port = fleet.ports["a"].callers.rsplit(":", 1)
+        fleet.signal("c.upstream", signal.SIGSTOP)
+        try:
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(
+                    b"POST /objednavky HTTP/1.1\r\nhost: a\r\n"
+                    b"rattangauge-deadline-ms: 1000\r\n"
+                    b"content-length: 40000000\r\n\r\n"
+                )
+                with (
+                    contextlib.suppress(anyio.BrokenResourceError),
+                    anyio.move_on_after(1.5),
+                ):
+                    await stream.send(bytes(20_000_000))
+                assert await fleet.stop("a") == 0
+        finally:
+            fleet.signal("c.upstream", signal.SIGCONT)
+
+
 async def test_cancellation_reaches_the_upstream():
     """Guards against work that goes on for a caller that has gone."""
     async with test_once.mesh() as (fleet, client):
