Give up connections whose set-up was cancelled, allow for bytes under way

Cause: uvloop closes the handle of a connection whose set-up is cancelled, also when it has told the protocol that it is made, and never reports its end. With connections that time out (0.25 s on a slow link) such a connection stayed in the list of checks, and its first ping ended the daemon. Besides, a ping behind a body on a slow link waited longer than the limit, which cut off all calls of the connection. Ruled out: a reset between two turns of the loop (is_closing was false).

--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -35,6 +35,8 @@
 IDLE_PINGS_PER_S = 20.0
 # A ping that is not answered in this time makes the other end suspect.
 SUSPECT_S = 0.15
+# What is on its way delays the answer to a ping by its size over this rate.
+SLOW_LINK_BYTES_PER_S = 100_000.0
 # Bytes of pongs that wait for a peer that does not read.
 MAX_UNREAD_BYTES = 16 * 1024 * 1024
 
@@ -69,6 +71,11 @@
         """Forgets a connection that has ended."""
         self._open.discard(connection)
 
+    def check_all(self, now: float, was_paused: bool) -> None:
+        """Checks all connections; see ``Connection.check``."""
+        for connection in list(self._open):
+            connection.check(now, was_paused)
+
     async def run(self) -> None:
         """Checks all connections until cancelled, then closes them."""
         period_s = self.silence_s / CHECKS_PER_SILENCE
@@ -78,8 +85,7 @@
                 await anyio.sleep(period_s)
                 now = time.monotonic()
                 was_paused = now - slept_at > 2 * period_s
-                for connection in list(self._open):
-                    connection.check(now, was_paused)
+                self.check_all(now, was_paused)
         finally:
             for connection in list(self._open):
                 connection.close()
@@ -101,6 +107,7 @@
         """
         self._owner = owner
         self._handler = handler
+        self._transport: Any = None
         self._splitter = frames.Splitter()
         self._streams: dict[int, streams.Stream] = {}
         self._unsent: set[streams.Stream] = set()
@@ -110,6 +117,8 @@
         self._received_at = time.monotonic()
         self._used_at = self._received_at
         self._pinged_at: float | None = None
+        # Bytes sent since the last byte of the other end.
+        self._sent_bytes = 0
         self._sequence = 0
 
     @property
@@ -126,12 +135,25 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the transport."""
-        self._transport: Any = transport
-        self._owner.add(self)
+        self._transport = transport
+        if self._error is None:
+            self._owner.add(self)
+        else:
+            transport.abort()
+
+    def abandon(self) -> None:
+        """Gives up a connection whose set-up was cancelled.
+
+        uvloop may have made it all the same, and does not report its end.
+        """
+        text = "the connection was not set up in time"
+        self._error = errors.CodedError(errorcodes.LINK_CLOSED, text)
+        self._owner.discard(self)
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the other end."""
         self._received_at = time.monotonic()
+        self._sent_bytes = 0
         try:
             for number, message in self._splitter.feed(data):
                 self._dispatch(number, message)
@@ -211,6 +233,7 @@
         self.check_open()
         frame = self._pack(stream, message)
         self._transport.write(frame)
+        self._sent_bytes += len(frame)
         metrics.observe_sent(message, len(frame))
 
     def _pack(
@@ -326,21 +349,28 @@
             self._fail(errors.CodedError(errorcodes.LINK_SILENT, text))
         elif self._is_idle(now):
             self.close()
-        elif self.is_open and self._pinged_at is None and self._is_ping_due(now):
+        elif self._is_ping_due(now):
             self._pinged_at = now
             self._sequence += 1
             self.post(None, messages.LinkPing(self._sequence))
 
     def is_suspect(self, now: float) -> bool:
         """Tells whether the other end has left a ping unanswered for long."""
-        return self._pinged_at is not None and now - self._pinged_at > SUSPECT_S
+        return self._waits_longer(now, SUSPECT_S)
 
     def _is_silent(self, now: float) -> bool:
+        return self._waits_longer(now, self._owner.silence_s * PONG_SHARE)
+
+    def _waits_longer(self, now: float, limit_s: float) -> bool:
+        """Tells whether a ping waits longer than a limit on a fast link."""
         if self._pinged_at is None:
             return False
-        return now - self._pinged_at >= self._owner.silence_s * PONG_SHARE
+        sending_s = self._sent_bytes / SLOW_LINK_BYTES_PER_S
+        return now - self._pinged_at > limit_s + sending_s
 
     def _is_ping_due(self, now: float) -> bool:
+        if self._pinged_at is not None or not self.is_open:
+            return False
         quiet_s = now - self._received_at
         if self.stream_count:
             return quiet_s >= self._owner.silence_s / CHECKS_PER_SILENCE
--- a/rattangauge/net/links.py
+++ b/rattangauge/net/links.py
@@ -21,6 +21,9 @@
 BACKOFF_MAX_S = 1.0
 # Purpose of the connections that carry short calls.
 CALLS = "calls"
+# Purpose of those that carry calls with larger bodies, so that a slow link
+# delays no other call and no ping.
+BODIES = "bodies"
 
 Connection = connections.Connection
 Handler = connections.Handler
@@ -76,18 +79,21 @@
         host, port = util.parse_address(address)
         own = util.parse_address(self._settings.listen.mesh)
         loop = asyncio.get_running_loop()
+        connection = Connection(self._owner)
+        is_made = False
         try:
             with anyio.fail_after(self._settings.mesh.connect_timeout_s):
-                _transport, connection = await loop.create_connection(
-                    lambda: Connection(self._owner),
-                    host,
-                    port,
-                    local_addr=(own.host, 0),
+                await loop.create_connection(
+                    lambda: connection, host, port, local_addr=(own.host, 0)
                 )
+            is_made = True
         except (OSError, TimeoutError) as error:
             raise errors.CodedError(
                 errorcodes.LINK_CONNECT, str(error) or "timeout", address
             ) from error
+        finally:
+            if not is_made:
+                connection.abandon()
         return connection
 
     async def shared(self, address: str, purpose: str) -> Connection:
--- a/tests/test_closed_transports.py
+++ b/tests/test_closed_transports.py
@@ -1,8 +1,9 @@
 """Connections that have ended while their end is not reported yet.
 
 uvloop refuses writes from the end of a connection on and reports the end one
-turn of the loop later. An error in between ended the whole daemon (quiet day of
-the grown hlasy-mesh: ``RuntimeError: the handler is closed``).
+turn of the loop later, or never if its set-up is cancelled at the last moment.
+An error in between ended the whole daemon (quiet day of the grown hlasy-mesh:
+``RuntimeError: the handler is closed``).
 """
 
 import time
@@ -48,7 +49,7 @@
 
     def get_extra_info(self, _name):
         """Knows nothing of the other end."""
-        return None
+        return
 
     def close(self):
         """Does nothing: it has ended."""
@@ -70,6 +71,29 @@
     assert not connection.is_open
 
 
+@pytest.mark.parametrize("is_made_first", [True, False])
+def test_a_connection_whose_set_up_was_cancelled_is_not_checked(is_made_first):
+    """Guards against a daemon that ends for a connection made too late.
+
+    uvloop closes it without a word, before or after it has told of it.
+    """
+
+    class UnreportedTransport(EndedTransport):
+        def is_closing(self):
+            return False
+
+    owner = connections_module.Connections(SILENCE_S)
+    connection = connections_module.Connection(owner)
+    if is_made_first:
+        connection.connection_made(UnreportedTransport())
+        connection.abandon()
+    else:
+        connection.abandon()
+        connection.connection_made(UnreportedTransport())
+    assert not connection.is_open
+    owner.check_all(time.monotonic() + 20 * SILENCE_S, False)
+
+
 def test_a_message_on_an_ended_connection_is_a_coded_error():
     """Guards against a call that fails without a reason and an outcome."""
     connection = open_connection()
@@ -90,9 +114,7 @@
         return None, protocol
 
     loop = types.SimpleNamespace(create_connection=create_connection)
-    monkeypatch.setattr(
-        client_module.asyncio, "get_running_loop", lambda: loop
-    )
+    monkeypatch.setattr(client_module.asyncio, "get_running_loop", lambda: loop)
     request = http_messages.Request("GET", "/", (), b"")
     with pytest.raises(client_module.NotSentError):
         await client.exchange(request)
