Send larger bodies when the other daemon has a slot for the call

Cause: a call's body of 60 kB went with its head. Change: above 16 kB the head goes first, and the body on another connection when the call holds a slot; a call whose body was not sent whole did not run.

--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -13,6 +13,9 @@
 from rattangauge.generated import messages
 from rattangauge.net import links as links_module
 
+# Larger bodies have connections of their own.
+LARGE_BODY_BYTES = 16_384
+
 
 class LinkLost(exchange.CallFailed):
     """The connection ended before the call had a whole answer.
@@ -52,12 +55,7 @@
         exchange.CallFailed: There is no whole answer; ``LinkLost`` if the
             connection is the cause.
     """
-    is_long = request.open.call_class == messages.CallClass.LONG
-    opener = (
-        links.long_stream(address)
-        if is_long
-        else links.stream(address, links_module.CALLS)
-    )
+    opener = _open_stream(links, address, request)
     sent = False
     remaining = request.deadline - time.monotonic()
     try:
@@ -75,17 +73,30 @@
         raise _late(sent) from error
 
 
+def _open_stream(
+    links: links_module.Links, address: str, request: exchange.Request
+) -> contextlib.AbstractAsyncContextManager[links_module.Stream]:
+    if request.open.call_class == messages.CallClass.LONG:
+        return links.long_stream(address)
+    if request.body is not None:
+        return links.stream(address, links_module.BODIES)
+    return links.stream(address, links_module.CALLS)
+
+
 async def forward_whole(
     links: links_module.Links, address: str, request: exchange.Request
 ) -> messages.AnswerOpen:
     """Passes a call with its whole body on and returns its whole answer.
 
-    This costs less than ``forward``.
+    This costs less than ``forward``. A larger body follows when the other
+    daemon has a slot for the call: a refused call costs its head alone.
 
     Raises:
         exchange.CallFailed: There is no whole answer; ``LinkLost`` if the
             connection is the cause.
     """
+    if len(request.open.body) > LARGE_BODY_BYTES:
+        return await _forward_body(links, address, request)
     stream = None
     is_answered = False
     try:
@@ -109,6 +120,44 @@
             _end_call(stream, is_answered)
 
 
+async def _forward_body(
+    links: links_module.Links, address: str, request: exchange.Request
+) -> messages.AnswerOpen:
+    """Passes a call on whose body the other daemon asks for.
+
+    The call begins when the body is whole there. So it did not run if a part
+    of the body was never sent.
+    """
+    body = request.open.body
+    answers: list[messages.AnswerOpen] = []
+    is_sent = False
+
+    async def pieces() -> AsyncIterator[bytes]:
+        nonlocal is_sent
+        yield body
+        is_sent = True
+
+    async def keep(response: exchange.Response) -> None:
+        answers.append(response.open)
+
+    opened = request.open._replace(body=b"", last=False)
+    split = request._replace(open=opened, body=pieces())
+    try:
+        await forward(links, address, split, keep)
+    except exchange.CallFailed as failure:
+        if is_sent or failure.outcome == messages.Outcome.NOT_RUN:
+            raise
+        raise _not_begun(failure) from failure
+    return _whole_answer(answers[0], request.open.call_id)
+
+
+def _not_begun(failure: exchange.CallFailed) -> exchange.CallFailed:
+    """Returns the failure of a call whose body was not sent whole."""
+    if isinstance(failure, LinkLost):
+        return LinkLost(failure.message, False)
+    return exchange.not_run(failure.code, failure.message)
+
+
 def _whole_answer(
     message: messages.Message, call_id: str
 ) -> messages.AnswerOpen:
--- a/rattangauge/sidecar/beside.py
+++ b/rattangauge/sidecar/beside.py
@@ -4,6 +4,8 @@
 import itertools
 import time
 
+import anyio
+
 from rattangauge import decisionlog
 from rattangauge import futures
 from rattangauge import util
@@ -167,6 +169,7 @@
         try:
             await self._wait(queue, waiter, request)
             began = time.monotonic()
+            request = await _receive_body(request)
             self._request_ids.add(request_id)
             head = await self._exchange(client, upstream, request)
             status = head.status
@@ -337,6 +340,27 @@
         )
 
 
+async def _receive_body(request: exchange.Request) -> exchange.Request:
+    """Returns a call that has a slot with its whole body.
+
+    Raises:
+        exchange.CallFailed: The body did not come whole; the call did not run.
+    """
+    if request.body is None:
+        return request
+    left_s = max(0.0, request.deadline - time.monotonic())
+    try:
+        with anyio.fail_after(left_s):
+            pieces = [piece async for piece in request.body]
+    except TimeoutError as error:
+        text = "the deadline passed before the whole body came"
+        raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
+    except exchange.CallFailed as failure:
+        raise exchange.not_run(failure.code, failure.message) from failure
+    opened = request.open._replace(body=b"".join(pieces), last=True)
+    return request._replace(open=opened, body=None)
+
+
 def _process(upstream: heartbeats.Upstream) -> tuple[str, int, util.Address]:
     told = upstream.heartbeat
     return told.instance, told.started_ms, told.address
--- a/tests/test_closed_transports.py
+++ b/tests/test_closed_transports.py
@@ -6,9 +6,11 @@
 ``RuntimeError: the handler is closed``).
 """
 
+import asyncio
 import time
 import types
 
+import anyio
 import pytest
 
 from rattangauge import errors
@@ -20,6 +22,8 @@
 from rattangauge.http import parsing
 from rattangauge.http import server as server_module
 from rattangauge.net import connections as connections_module
+from rattangauge.net import links as links_module
+from tests import peers
 
 pytestmark = pytest.mark.anyio
 
@@ -57,6 +61,14 @@
     abort = close
 
 
+class UnreportedTransport(EndedTransport):
+    """One whose end is never reported."""
+
+    def is_closing(self):
+        """Does not tell of the end."""
+        return False
+
+
 def open_connection():
     owner = connections_module.Connections(SILENCE_S)
     connection = connections_module.Connection(owner)
@@ -77,11 +89,6 @@
 
     uvloop closes it without a word, before or after it has told of it.
     """
-
-    class UnreportedTransport(EndedTransport):
-        def is_closing(self):
-            return False
-
     owner = connections_module.Connections(SILENCE_S)
     connection = connections_module.Connection(owner)
     if is_made_first:
@@ -94,6 +101,26 @@
     owner.check_all(time.monotonic() + 20 * SILENCE_S, False)
 
 
+async def test_a_set_up_that_takes_too_long_leaves_no_connection(monkeypatch):
+    """Guards against pings on a connection that was made too late."""
+    loop = asyncio.get_running_loop()
+    made = []
+
+    async def create_connection(factory, *_address, **_options):
+        made.append(factory())
+        made[0].connection_made(UnreportedTransport())
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(loop, "create_connection", create_connection)
+    async with anyio.create_task_group() as tasks:
+        settings = peers.settings(connect_timeout_s=0.05)
+        pool = links_module.Links(settings, tasks)
+        with pytest.raises(errors.CodedError):
+            await pool.shared("127.0.0.1:1", links_module.CALLS)
+        tasks.cancel_scope.cancel()
+    assert not made[0].is_open
+
+
 def test_a_message_on_an_ended_connection_is_a_coded_error():
     """Guards against a call that fails without a reason and an outcome."""
     connection = open_connection()
