--- a/rattangauge/http/messages.py
+++ b/rattangauge/http/messages.py
@@ -30,7 +30,6 @@
         body: Body.
         received_at: Time at which its headers were complete, in seconds.
         keeps_alive: Whether the caller keeps the connection.
-        caller: IP number of the caller.
         is_first: Whether it is the first one of its connection.
     """
 
@@ -40,7 +39,6 @@
     body: bytes
     received_at: float = 0.0
     keeps_alive: bool = True
-    caller: str = ""
     is_first: bool = False
 
     def header(self, name: bytes) -> bytes:
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -116,15 +116,13 @@
         requests: Whole requests that were not taken yet.
     """
 
-    def __init__(self, bounds: Bounds, caller: str = "") -> None:
+    def __init__(self, bounds: Bounds) -> None:
         """Creates a reader of one connection.
 
         Args:
             bounds: Limits of a request.
-            caller: IP number of the caller.
         """
         super().__init__(bounds)
-        self._caller = caller
         self._is_first = True
         self._parser = httptools.HttpRequestParser(self)
         self._headers_at = 0.0
@@ -185,7 +183,6 @@
                 b"".join(self._pieces),
                 self._headers_at,
                 self._parser.should_keep_alive(),
-                self._caller,
                 self._is_first,
             )
         )
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -168,11 +168,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to serve a caller."""
         limits = self._server.limits
-        peer = transport.get_extra_info("peername") or ("",)
         self._transport: Any = transport
         self._reader = parsing.RequestReader(
-            parsing.Bounds(limits.header_bytes, limits.body_bytes),
-            str(peer[0]),
+            parsing.Bounds(limits.header_bytes, limits.body_bytes)
         )
         self._server.add(self)
         self._set_due(limits.idle_s)
--- a/rattangauge/net/upstream.py
+++ b/rattangauge/net/upstream.py
@@ -13,6 +13,7 @@
 from rattangauge.calls import exchange
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.http import messages as http_messages
 from rattangauge.net import backend
 
 # An upstream that answers with this header did not run the call.
@@ -21,19 +22,7 @@
 # Time that the upstream has left for the call, in milliseconds.
 DEADLINE_HEADER = b"rattangauge-deadline-ms"
 
-_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"host",
-    )
-)
+_HOP_HEADERS = http_messages.HOP_HEADERS | {b"content-length", b"host"}
 
 # httpcore raises these before any byte of the request was sent.
 _NOT_SENT = (
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -3,6 +3,9 @@
 import anyio
 import pytest
 
+from rattangauge import errors
+from rattangauge.generated import errorcodes
+from rattangauge.sidecar import following
 from rattangauge.sidecar import watchers
 from tests import meshes
 
@@ -84,3 +87,23 @@
             mesh.places[name].kill()
         mesh.publish([TRACK, NEW])
         await wait_version(mesh, followers, 2)
+
+
+async def test_followers_whose_watchers_are_refused_read_the_store(monkeypatch):
+    """Guards against a store that refuses the watchers and serves others."""
+
+    async def refuse(*_arguments):
+        code = errorcodes.STORE_UNAVAILABLE
+        raise errors.CodedError(code, "the store answered 503")
+
+    async with meshes.running() as mesh:
+        await start(mesh)
+        watching, followers = roles(mesh)
+        for name in watching:
+            store = mesh.places[name].node._following._store
+            monkeypatch.setattr(store, "read_configuration", refuse)
+            monkeypatch.setattr(store, "watch_configuration", refuse)
+        # Watches that have begun still tell of changes.
+        await anyio.sleep(following.WATCH_S)
+        mesh.publish([TRACK, NEW])
+        await wait_version(mesh, followers, 2)
