Log how each configuration reaches a daemon

Change: config_used says how the version came, how many versions the answer carried and how long it took; config_pull_failed and config_role_changed are new; upstream_ran tells the time that the body of a call took.

--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -7,18 +7,18 @@
 
 from collections import deque
 from collections.abc import Callable
+import enum
 import math
 import random as random_module
 import time
+from typing import NamedTuple
 
 import anyio
-import loguru
 
 from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge.config import delta
 from rattangauge.config import edition as edition_module
-from rattangauge.config import objects as objects_module
 from rattangauge.generated import errorcodes
 from rattangauge.generated import logevents
 from rattangauge.generated import messages
@@ -56,6 +56,38 @@
 Apply = Callable[[edition_module.Edition], None]
 
 
+class Form(enum.Enum):
+    """How a configuration reached the daemon; the values stand in the log."""
+
+    # Whole, by a read of the store.
+    READ = "read"
+    # Whole, by a watch of the store.
+    WATCH = "watch"
+    # Whole, from a peer.
+    WHOLE = "whole"
+    # As changes since the version in force, from a peer.
+    CHANGES = "changes"
+
+
+class Delivery(NamedTuple):
+    """A configuration and the way it reached the daemon.
+
+    Attributes:
+        edition: The configuration.
+        source: ``store`` or the mesh address of a peer.
+        form: How it was transferred.
+        versions: Number of versions in the answer that carried it.
+        requested_at: Time of the request, on the clock of ``time.monotonic``,
+            in seconds.
+    """
+
+    edition: edition_module.Edition
+    source: str
+    form: Form
+    versions: int
+    requested_at: float
+
+
 class ConfigSync:
     """Applies the newest configuration and sends it to peers that ask."""
 
@@ -84,6 +116,7 @@
         self._current: edition_module.Edition | None = None
         self._random = random_module.Random()
         self._is_store_reachable: bool | None = None
+        self._is_watcher = True
         self._outdated_since = 0.0
         self._store_answered_at = -math.inf
         self._delta_bases: deque[edition_module.Edition] = deque(
@@ -124,6 +157,8 @@
                 revision = 0
                 await anyio.sleep(WATCH_CHECK_PERIOD_S)
                 continue
+            form = Form.WATCH if revision else Form.READ
+            requested_at = time.monotonic()
             try:
                 if revision:
                     result = await self._store.watch_configuration(
@@ -142,7 +177,7 @@
             failures = 0
             revision = result.revision
             if result.objects is not None:
-                self._adopt_from_store(result.version, result.objects)
+                self._adopt_from_store(result, form, requested_at)
                 await anyio.sleep(HOLD_OFF_S)
             elif not result.version and not self.version:
                 # Neither the store nor the daemon has a configuration yet.
@@ -154,7 +189,17 @@
         if not self.version:
             return True
         sources = watchers.sources(self._peers)
-        return watchers.must_watch(sources, time.monotonic())
+        confirmed = watchers.confirmed(sources, time.monotonic())
+        must_watch = len(confirmed) < watchers.MIN_CONFIRMED
+        if must_watch is not self._is_watcher:
+            self._is_watcher = must_watch
+            addresses = " ".join(peer.member.mesh for peer in sources)
+            self._log.record(
+                logevents.ConfigRoleChanged(
+                    must_watch, self.version, addresses, len(confirmed)
+                )
+            )
+        return must_watch
 
     def _retry_delay_s(self, failures: int) -> float:
         """Returns the delay after a number of failures in a row, in seconds.
@@ -178,24 +223,40 @@
             )
 
     def _adopt_from_store(
-        self, version: int, objects: objects_module.ObjectSet
+        self,
+        result: stores.ConfigurationResult,
+        form: Form,
+        requested_at: float,
     ) -> None:
-        if version <= self.version:
+        """Applies the configuration of an answer of the store if it is newer.
+
+        Args:
+            result: The answer, with a configuration.
+            form: How the store was asked.
+            requested_at: Monotonic time of the request, in seconds.
+        """
+        if result.version <= self.version or result.objects is None:
             return
         # Digest and data stay empty until a peer asks for the whole
         # configuration.
-        edition = edition_module.Edition(version, "", objects, b"")
-        self._adopt(edition, "store")
-
-    def _adopt(self, edition: edition_module.Edition, source: str) -> None:
-        """Applies a newer configuration.
+        edition = edition_module.Edition(
+            result.version, "", result.objects, b""
+        )
+        versions = result.answered_versions
+        self._adopt(Delivery(edition, "store", form, versions, requested_at))
 
-        Args:
-            edition: The configuration.
-            source: ``store`` or the mesh address of a peer, for the log.
-        """
+    def _adopt(self, delivery: Delivery) -> None:
+        """Applies a newer configuration."""
+        edition = delivery.edition
         self._log.record(
-            logevents.ConfigUsed(edition.version, self.version, source)
+            logevents.ConfigUsed(
+                version=edition.version,
+                before=self.version,
+                source=delivery.source,
+                form=delivery.form.value,
+                versions=delivery.versions,
+                took_ms=_elapsed_ms(delivery.requested_at),
+            )
         )
         if self._current is not None:
             self._delta_bases.append(self._current._replace(data=b""))
@@ -221,7 +282,7 @@
                 self._outdated_since = now
             is_due = now - self._outdated_since >= PULL_DELAY_S
             if not self.version or is_due or not self._must_watch():
-                await self._pull(newest.member.mesh)
+                await self._pull(newest)
 
     def _newest_peer(self) -> peers_module.Peer | None:
         """Returns a random peer of those with the newest version.
@@ -238,24 +299,41 @@
             default=None,
         )
 
-    async def _pull(self, address: str) -> None:
+    async def _pull(self, peer: peers_module.Peer) -> None:
         """Pulls the configuration of a peer and applies it if it is newer."""
-        request = messages.EditionRequest(self.version)
+        address = peer.member.mesh
+        wanted = peer.member.version
+        requested_at = time.monotonic()
         try:
             with anyio.fail_after(PULL_TIMEOUT_S):
-                edition = await self._receive(address, request)
-        except (errors.CodedError, errors.FindingsError, TimeoutError) as error:
-            loguru.logger.warning(
-                "cannot pull the configuration from peer {}: {}", address, error
+                delivery = await self._receive(address)
+        except errors.CodedError as error:
+            code, reason = error.code, error.message
+        except errors.FindingsError as error:
+            code, reason = error.findings[0].code, str(error)
+        except TimeoutError:
+            code = errorcodes.LINK_SILENT
+            reason = f"no whole answer in {PULL_TIMEOUT_S} s"
+        else:
+            if delivery is not None:
+                if delivery.edition.version > self.version:
+                    self._adopt(delivery)
+                return
+            code = errorcodes.CALL_NOT_READY
+            reason = "the peer has no newer configuration to send"
+        self._log.record(
+            logevents.ConfigPullFailed(
+                version=self.version,
+                wanted=wanted,
+                peer=address,
+                code=code,
+                reason=reason,
+                took_ms=_elapsed_ms(requested_at),
             )
-            return
-        if edition is not None and edition.version > self.version:
-            self._adopt(edition, address)
+        )
 
-    async def _receive(
-        self, address: str, request: messages.EditionRequest
-    ) -> edition_module.Edition | None:
-        """Sends a request for the configuration and receives the reply.
+    async def _receive(self, address: str) -> Delivery | None:
+        """Asks a peer for the configuration and receives the reply.
 
         Returns:
             The configuration; None if the peer refused, or sent changes that
@@ -265,11 +343,12 @@
             errors.CodedError: The connection failed or the data is damaged.
             errors.FindingsError: The configuration is not valid.
         """
+        requested_at = time.monotonic()
         data_parts = []
         async with self._links.stream(
             address, connection_pool.SMALL_BODIES
         ) as stream:
-            await stream.send(request)
+            await stream.send(messages.EditionRequest(self.version))
             while True:
                 part = await stream.receive()
                 if not isinstance(part, messages.EditionPart):
@@ -279,10 +358,14 @@
                     break
         data = b"".join(data_parts)
         if not part.delta:
-            return edition_module.decode(part.version, part.digest, data)
+            edition = edition_module.decode(part.version, part.digest, data)
+            return Delivery(edition, address, Form.WHOLE, 1, requested_at)
         if self._current is None or part.version <= self.version:
             return None
-        return delta.apply_delta_by_version(self._current, part.version, data)
+        edition = delta.apply_delta_by_version(
+            self._current, part.version, data
+        )
+        return Delivery(edition, address, Form.CHANGES, 1, requested_at)
 
     async def serve(
         self, stream: connection_pool.Stream, request: messages.EditionRequest
@@ -330,6 +413,11 @@
         return self._deltas[version]
 
 
+def _elapsed_ms(since: float) -> int:
+    """Returns the time since a monotonic time, in milliseconds."""
+    return round((time.monotonic() - since) * 1000)
+
+
 def _encoded(edition: edition_module.Edition) -> edition_module.Edition:
     """Returns a configuration with its encoded data and its digest."""
     if edition.data:
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -185,12 +185,13 @@
             raise self._refuse(request, text)
         waiter = self._make_waiter(request)
         request_id = self._request_id(request)
-        enqueued_at = started_at = time.monotonic()
+        enqueued_at = started_at = received_at = time.monotonic()
         status = 0
         try:
             await self._wait_for_slot(queue, waiter, request)
             started_at = time.monotonic()
             request = await _receive_body(request)
+            received_at = time.monotonic()
             self._running_request_ids.add(request_id)
             answer = await self._exchange(client, upstream, request)
             status = answer.status
@@ -206,6 +207,7 @@
                 upstream=upstream.heartbeat.instance,
                 status=status,
                 waited_ms=round((started_at - enqueued_at) * 1000, 1),
+                body_ms=round((received_at - started_at) * 1000, 1),
                 held_ms=round(held_s * 1000, 1),
             )
         )
--- a/rattangauge/sidecar/stores.py
+++ b/rattangauge/sidecar/stores.py
@@ -14,11 +14,14 @@
         version: Version of the configuration; 0 if there is none, or none that
             is newer than the watched revision.
         objects: Objects of the configuration; None if the version is 0.
+        answered_versions: Versions of the configuration in the answer of the
+            store, each of them whole. The newest one is that of the objects.
     """
 
     revision: int
     version: int
     objects: objects_module.ObjectSet | None
+    answered_versions: int
 
 
 class DirectoryEntry(NamedTuple):
--- a/rattangauge/sidecar/watchers.py
+++ b/rattangauge/sidecar/watchers.py
@@ -79,16 +79,27 @@
     return zone_watchers[:SOURCE_COUNT]
 
 
-def must_watch(own_sources: Iterable[peers_module.Peer], now: float) -> bool:
-    """Tells whether a daemon must watch the store itself.
+def confirmed(
+    own_sources: Iterable[peers_module.Peer], now: float
+) -> list[peers_module.Peer]:
+    """Returns the polled watchers that lately said that they hear the store.
 
     Args:
         own_sources: The watchers that the daemon polls.
         now: Time on the clock of ``time.monotonic``, in seconds.
     """
-    confirmed = [
+    return [
         peer
         for peer in own_sources
         if peer.is_watching(now, CONFIRMATION_TTL_S)
     ]
-    return len(confirmed) < MIN_CONFIRMED
+
+
+def must_watch(own_sources: Iterable[peers_module.Peer], now: float) -> bool:
+    """Tells whether a daemon must watch the store itself.
+
+    Args:
+        own_sources: The watchers that the daemon polls.
+        now: Time on the clock of ``time.monotonic``, in seconds.
+    """
+    return len(confirmed(own_sources, now)) < MIN_CONFIRMED
