Let the daemons with the fastest links watch the store

Cause: watchers were chosen by service and address; no daemon knew how fast the link of another one is. Change: the setting instance.link_mbps comes from the platform, each member record carries it, and watchers are chosen by it first.

--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -230,6 +230,7 @@
         mesh=settings.listen.advertise or settings.listen.mesh,
         service=settings.instance.service,
         incarnation=util.now_ms(),
+        link_kbps=round(settings.instance.link_mbps * 1000),
     )
 
 
--- a/rattangauge/sidecar/watchers.py
+++ b/rattangauge/sidecar/watchers.py
@@ -51,15 +51,21 @@
 ) -> list[peers_module.Peer]:
     """Returns the watchers of a zone.
 
-    Daemons of the service with the most instances come first: each of them
-    carries the smallest share of its service's calls, so its network link has
-    the most spare capacity.
+    Daemons with the fastest network link come first. Among equal ones, those
+    of the service with the most instances come first: each of them carries the
+    smallest share of its service's calls, so its link has the most spare
+    capacity.
     """
     count = max(MIN_WATCHERS, round(len(zone_peers) * WATCHER_SHARE))
     instances = collections.Counter(peer.member.service for peer in zone_peers)
 
-    def rank(peer: peers_module.Peer) -> tuple[int, int]:
-        return -instances[peer.member.service], _hash(peer.member.mesh)
+    def rank(peer: peers_module.Peer) -> tuple[int, int, int]:
+        member = peer.member
+        return (
+            -member.link_kbps,
+            -instances[member.service],
+            _hash(member.mesh),
+        )
 
     return sorted(zone_peers, key=rank)[:count]
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -70,6 +70,7 @@
   targetMs @18 :UInt32; # time left to the target latency; 0 if none or passed
   returned @19 :Bool;   # the caller was refused before and sent the call again
   inner @20 :Bool;      # an upstream makes it while it runs another call
+  bodyBytes @21 :UInt32;  # size of a body that follows; 0 if unknown or none
 }
 struct CallData { body @0 :Data; last @1 :Bool; }
 struct CallCancel { reason @0 :Text; }
@@ -112,6 +113,7 @@
   rejectedVersion @12 :UInt64;  # newest version refused, or 0
   rejectedCode @13 :Text;
   watches @14 :Bool;     # whether the member watches the store and hears it
+  linkKbps @15 :UInt32;  # rate of the instance's network link; 0 if unknown
 }
 
 # A worker that other zones may send calls to.
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -21,6 +21,8 @@
 from standins import objectstore
 
 HOST = "shop.example"
+# Rate of the network link in the settings of an instance.
+LINK_MBPS = 1000.0
 
 
 # Ports below those that the system assigns to outgoing connections, on a
@@ -106,7 +108,12 @@
         self._scope = None
         self.settings = settings_module.Settings(
             instance=generated.Instance(
-                name, zone, "sk-west", service, upstream.address
+                name,
+                zone,
+                "sk-west",
+                service,
+                upstream.address,
+                link_mbps=LINK_MBPS,
             ),
             listen=generated.Listen(
                 callers=free_address(),
@@ -275,6 +282,11 @@
         self.version = 0
         self._tasks = tasks
 
+    @property
+    def tasks(self):
+        """Task group that runs the daemons and stand-ins."""
+        return self._tasks
+
     def publish(self, paths, services=("skladby", "objednavky")):
         """Writes a configuration to the store."""
         self.version += 1
@@ -283,11 +295,16 @@
 
     async def add(self, name, service="skladby", zone="zone-1", work_s=0.0):
         """Adds an instance and starts its daemon and its upstream."""
+        instance = await self.prepare(name, service, zone, work_s)
+        self.start(name)
+        return instance
+
+    async def prepare(self, name, service="skladby", zone="zone-1", work_s=0.0):
+        """Adds an instance and starts its upstream, but not its daemon."""
         upstream = appworker.AppWorker(work_s)
         await upstream.start(self._tasks)
         instance = Instance(name, service, zone, self.store.address, upstream)
         self.instances[name] = instance
-        self.start(name)
         return instance
 
     def start(self, name):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -284,6 +284,9 @@
         "service": "s",
         "ip": "10.0.0.1",
         "port-range.0": "7600",
+        "#limits.link-mbps": "",
+        "limits.link-mbps": "3.5",
+        "/limits.link-mbps": "",
     }
     return re.sub(
         r"\{\{([^}]*)\}\}",
@@ -297,6 +300,7 @@
     settings = settings_module.parse(filled_template(), "node.toml")
     assert settings.instance.zone == "zone-1"
     assert settings.listen.operators == "10.0.0.1:7600"
+    assert settings.instance.link_mbps == 3.5
     assert settings.platform.url == "http://10.0.0.1:80"
 
 
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -69,6 +69,19 @@
         assert peer.member.service == "objednavky"
 
 
+def test_daemons_with_the_fastest_links_watch():
+    """Guards against whole configurations over slow links."""
+    table = peer_table(1, LARGE_ZONE_SIZE)
+    fast = set()
+    for number, peer in enumerate(table):
+        is_fast = number % 4 == 3
+        link_kbps = 70_000 if is_fast else 3_500
+        peer.member = peer.member._replace(link_kbps=link_kbps)
+        if is_fast:
+            fast.add(peer.member.mesh)
+    assert addresses(watchers.sources(table)) <= fast
+
+
 def test_daemons_of_other_zones_are_no_sources():
     """Guards against changes over links between zones, which cost more."""
     table = peer_table(100, LARGE_ZONE_SIZE, zone="zone-2")
