Poll a watcher at once when it becomes a source

Seen: followers read whole configurations from the store although their zone had watchers. Cause: the period of the exchange with a peer was chosen when the last one ended, up to ten seconds before the peer became a source; until then it was not confirmed, and the follower watched the store itself. One lost answer was enough to replace a source. Change: sources are polled by a loop of their own that looks at the present sources, and may answer within a second, as late answers carry versions too.

--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -5,6 +5,7 @@
 and through the reports that it receives.
 """
 
+import math
 import random as random_module
 import time
 
@@ -26,6 +27,11 @@
 
 # Time within which a peer must answer a report.
 REPLY_TIMEOUT_S = 0.5
+# Time within which a polled watcher must answer. It is longer, since its late
+# answer still carries the newest version, and a failure replaces the watcher.
+SOURCE_REPLY_TIMEOUT_S = 1.0
+# Time between two checks whether a watcher must be polled.
+SOURCE_CHECK_PERIOD_S = 0.1
 # Exchanges that a daemon starts in a second. In a large fleet each peer gets
 # fewer reports; daemons also learn the load of others from answers to calls.
 MAX_EXCHANGES_PER_S = 10.0
@@ -89,6 +95,7 @@
         self._log = log
         self._own_changed = anyio.Event()
         self._exchanging: set[str] = set()
+        self._polling: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._random = random_module.Random()
         self._is_stopping = False
@@ -98,6 +105,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._follow_directory)
+            tasks.start_soon(self._poll_sources)
 
     def refresh(self) -> None:
         """Reports the changed state of the daemon to all peers at once."""
@@ -191,18 +199,58 @@
         period_s = exchange_period_s(
             self._settings.mesh.news_period_s, len(self._peers)
         )
-        if peer in watchers.sources(self._peers):
-            period_s = min(period_s, watchers.SOURCE_POLL_PERIOD_S)
-        elif peer.member.zone != self._settings.instance.zone:
+        if peer.member.zone != self._settings.instance.zone:
             period_s *= OTHER_ZONE_FACTOR
         return period_s * self._random.uniform(0.8, 1.2)
 
-    async def _exchange(self, address: str) -> bool:
-        """Sends a report to a peer; returns whether the peer answered."""
+    async def _poll_sources(self) -> None:
+        """Polls the watchers that the daemon follows.
+
+        A watcher that has just become a source is polled at once, so that the
+        daemon need not watch the store until it hears from it.
+        """
+        polled_at: dict[str, float] = {}
+        while True:
+            now = time.monotonic()
+            sources = watchers.sources(self._peers)
+            addresses = {peer.member.mesh for peer in sources}
+            polled_at = {
+                address: at
+                for address, at in polled_at.items()
+                if address in addresses
+            }
+            for address in addresses:
+                last_at = polled_at.get(address, -math.inf)
+                if now - last_at >= watchers.SOURCE_POLL_PERIOD_S:
+                    polled_at[address] = now
+                    self._start_poll(address)
+            await anyio.sleep(SOURCE_CHECK_PERIOD_S)
+
+    def _start_poll(self, address: str) -> None:
+        """Starts an exchange with a watcher, unless one is under way."""
+        if self._tasks is not None and address not in self._polling:
+            self._polling.add(address)
+            self._tasks.start_soon(self._poll, address)
+
+    async def _poll(self, address: str) -> None:
+        try:
+            await self._exchange(address, SOURCE_REPLY_TIMEOUT_S)
+        finally:
+            self._polling.discard(address)
+
+    async def _exchange(
+        self, address: str, timeout_s: float = REPLY_TIMEOUT_S
+    ) -> bool:
+        """Sends a report to a peer; returns whether the peer answered.
+
+        Args:
+            address: Mesh address of the peer.
+            timeout_s: Time within which it must answer, in seconds.
+        """
         report = self._refresh_own_report()
         try:
             reply = await self._links.request(
-                address, report, REPLY_TIMEOUT_S, connection_pool.SMALL_BODIES
+                address, report, timeout_s, connection_pool.SMALL_BODIES
             )
         except errors.CodedError as error:
             self._record_failure(address, error)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -6,6 +6,7 @@
 from rattangauge import errors
 from rattangauge.generated import errorcodes
 from rattangauge.sidecar import configsync
+from rattangauge.sidecar import peerexchange
 from rattangauge.sidecar import watchers
 from tests import meshes
 
@@ -110,3 +111,29 @@
         await anyio.sleep(configsync.WATCH_S)
         mesh.publish([TRACK, NEW])
         await wait_version(mesh, followers, 2)
+
+
+async def test_followers_of_a_lost_watcher_poll_another_one_at_once(
+    monkeypatch,
+):
+    """Guards against followers that read the store when a watcher changes."""
+    # As in a fleet so large that each peer gets a report in ten seconds.
+    monkeypatch.setattr(
+        peerexchange, "MAX_EXCHANGES_PER_S", DAEMON_COUNT / 10.0
+    )
+    async with meshes.running() as mesh:
+        await start(mesh)
+        watching, followers = roles(mesh)
+        lost = sorted(watching)[: watchers.SOURCE_COUNT - 1]
+        for name in lost:
+            mesh.instances.pop(name).kill()
+        # Longer than a confirmation counts.
+        await anyio.sleep(2 * watchers.CONFIRMATION_TTL_S)
+        promoted = roles(mesh)[0] - watching
+        began = {
+            name
+            for name in followers
+            for event in mesh.instances[name].events()
+            if event["event"] == "config_role_changed" and event["watches"]
+        }
+        assert began <= promoted
