Read the newest version while changes come fast

Cause: a watch returns each version since the last call, each of them whole (180 KB), so a daemon on a slow link falls further behind with each call. A pull went to a random peer, over a new connection, and each peer had kept other versions, so that many sent the whole configuration. Change: after an answer with several versions the store is read until a read brings nothing new. A pull goes to the peer of the last pull, then to polled watchers; one that failed comes last. A follower waits 0.3 s for new sources before it watches the store. Result: test_changes_that_come_faster_than_the_link_carries_them failed before (version 17 of 41 after 2.5 s) and passes.

--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -46,6 +46,9 @@
 PULL_TIMEOUT_S = 1.0
 # Time between two checks whether the daemon must watch the store.
 WATCH_CHECK_PERIOD_S = 0.1
+# A follower that hears too few watchers begins to watch the store after this
+# time. Until then watchers that have just become its sources can answer.
+UNCONFIRMED_GRACE_S = 0.3
 # A daemon counts as watching the store if the last answer is not older than the
 # duration of a watch plus this time.
 WATCH_GRACE_S = 0.5
@@ -117,6 +120,16 @@
         self._random = random_module.Random()
         self._is_store_reachable: bool | None = None
         self._is_watcher = True
+        # Monotonic time since when too few watchers confirm that they hear the
+        # store; infinite while enough of them do.
+        self._unconfirmed_since = math.inf
+        # Revision from which the store is watched; 0 to read it first.
+        self._revision = 0
+        # Whether the last answers brought several versions in a row.
+        self._is_catching_up = False
+        # Peers of the last successful and the last failed pull.
+        self._last_source = ""
+        self._failed_source = ""
         self._outdated_since = 0.0
         self._store_answered_at = -math.inf
         self._delta_bases: deque[edition_module.Edition] = deque(
@@ -150,57 +163,107 @@
 
     async def _watch_store(self) -> None:
         """Reads the store, then watches it, whenever this daemon must do so."""
-        revision = 0
         failures = 0
         while True:
             if not self._must_watch():
-                revision = 0
+                self._restart_watch()
                 await anyio.sleep(WATCH_CHECK_PERIOD_S)
                 continue
-            form = Form.WATCH if revision else Form.READ
-            requested_at = time.monotonic()
             try:
-                if revision:
-                    result = await self._store.watch_configuration(
-                        revision, WATCH_S
-                    )
-                else:
-                    result = await self._store.read_configuration()
+                await self._ask_store()
             except errors.CodedError as error:
                 self._record_store_state(error)
-                revision = 0
+                self._restart_watch()
                 failures += error.code != errorcodes.STORE_COMPACTED
                 await anyio.sleep(self._retry_delay_s(failures))
-                continue
-            self._record_store_state(None)
-            self._store_answered_at = time.monotonic()
-            failures = 0
-            revision = result.revision
-            if result.objects is not None:
-                self._adopt_from_store(result, form, requested_at)
-                await anyio.sleep(HOLD_OFF_S)
-            elif not result.version and not self.version:
-                # Neither the store nor the daemon has a configuration yet.
-                revision = 0
-                await anyio.sleep(self._retry_delay_s(1))
+            else:
+                failures = 0
+
+    def _restart_watch(self) -> None:
+        """Makes the next call of the store a read."""
+        self._revision = 0
+        self._is_catching_up = False
+
+    async def _ask_store(self) -> None:
+        """Reads the configuration, or waits for a change of it, and applies it.
+
+        Raises:
+            errors.CodedError: The store did not answer.
+        """
+        form = Form.WATCH if self._revision else Form.READ
+        requested_at = time.monotonic()
+        if form is Form.WATCH:
+            result = await self._store.watch_configuration(
+                self._revision, WATCH_S
+            )
+        else:
+            result = await self._store.read_configuration()
+        self._record_store_state(None)
+        self._store_answered_at = time.monotonic()
+        self._revision = result.revision
+        if result.objects is not None:
+            is_newer = result.version > self.version
+            self._adopt_from_store(result, form, requested_at)
+            self._choose_next_call(result, is_newer)
+            await anyio.sleep(HOLD_OFF_S)
+        elif not result.version and not self.version:
+            # Neither the store nor the daemon has a configuration yet.
+            self._restart_watch()
+            await anyio.sleep(self._retry_delay_s(1))
+
+    def _choose_next_call(
+        self, result: stores.ConfigurationResult, is_newer: bool
+    ) -> None:
+        """Makes the next call a read while changes come fast, else a watch.
+
+        A watch returns each version since the last call as a whole. On a slow
+        link these take longer than the changes that they bring, so the daemon
+        would fall further behind with each call; a read returns one version.
+
+        Args:
+            result: The last answer of the store.
+            is_newer: Whether it had a newer version than the one in force.
+        """
+        has_several = result.answered_versions > 1
+        self._is_catching_up = has_several or (
+            self._is_catching_up and is_newer
+        )
+        if self._is_catching_up:
+            self._revision = 0
 
     def _must_watch(self) -> bool:
         """Tells whether the daemon must read and watch the store itself."""
         if not self.version:
             return True
+        now = time.monotonic()
         sources = watchers.sources(self._peers)
-        confirmed = watchers.confirmed(sources, time.monotonic())
-        must_watch = len(confirmed) < watchers.MIN_CONFIRMED
+        if not watchers.must_watch(sources, now):
+            self._unconfirmed_since = math.inf
+        else:
+            self._unconfirmed_since = min(self._unconfirmed_since, now)
+        unconfirmed_s = now - self._unconfirmed_since
+        must_watch = unconfirmed_s >= 0.0 and (
+            self._is_watcher
+            or not sources
+            or unconfirmed_s >= UNCONFIRMED_GRACE_S
+        )
         if must_watch is not self._is_watcher:
             self._is_watcher = must_watch
-            addresses = " ".join(peer.member.mesh for peer in sources)
-            self._log.record(
-                logevents.ConfigRoleChanged(
-                    must_watch, self.version, addresses, len(confirmed)
-                )
-            )
+            self._record_role(sources, now)
         return must_watch
 
+    def _record_role(
+        self, sources: list[peers_module.Peer], now: float
+    ) -> None:
+        """Logs that the daemon begins or ceases to watch the store."""
+        addresses = " ".join(peer.member.mesh for peer in sources)
+        confirmed = len(watchers.confirmed(sources, now))
+        self._log.record(
+            logevents.ConfigRoleChanged(
+                self._is_watcher, self.version, addresses, confirmed
+            )
+        )
+
     def _retry_delay_s(self, failures: int) -> float:
         """Returns the delay after a number of failures in a row, in seconds.
 
@@ -273,8 +336,8 @@
         """
         while True:
             await anyio.sleep(PULL_PERIOD_S)
-            newest = self._newest_peer()
-            if newest is None or newest.member.version <= self.version:
+            peer = self._choose_source()
+            if peer is None:
                 self._outdated_since = 0.0
                 continue
             now = time.monotonic()
@@ -282,22 +345,37 @@
                 self._outdated_since = now
             is_due = now - self._outdated_since >= PULL_DELAY_S
             if not self.version or is_due or not self._must_watch():
-                await self._pull(newest)
+                await self._pull(peer)
 
-    def _newest_peer(self) -> peers_module.Peer | None:
-        """Returns a random peer of those with the newest version.
+    def _choose_source(self) -> peers_module.Peer | None:
+        """Returns the peer to pull from; None if none has a newer version.
 
-        Of these, peers in the daemon's own zone are preferred; None if there
-        are no peers.
+        The peer of the last pull has the version in force, so it can send the
+        changes alone. Polled watchers have an open connection. Of the others,
+        reachable ones with the newest version come first, then those in the
+        daemon's own zone.
         """
         zone = self._peers.own.member.zone
-        others = self._peers.others()
-        self._random.shuffle(others)
-        return max(
-            others,
-            key=lambda peer: (peer.member.version, peer.member.zone == zone),
-            default=None,
-        )
+        sources = watchers.sources(self._peers)
+        newer = [
+            peer
+            for peer in self._peers.others()
+            if peer.member.version > self.version
+        ]
+        self._random.shuffle(newer)
+
+        def rank(peer: peers_module.Peer) -> tuple[bool | int, ...]:
+            member = peer.member
+            return (
+                member.mesh != self._failed_source,
+                not peer.failures,
+                member.mesh == self._last_source,
+                peer in sources,
+                member.version,
+                member.zone == zone,
+            )
+
+        return max(newer, key=rank, default=None)
 
     async def _pull(self, peer: peers_module.Peer) -> None:
         """Pulls the configuration of a peer and applies it if it is newer."""
@@ -316,11 +394,13 @@
             reason = f"no whole answer in {PULL_TIMEOUT_S} s"
         else:
             if delivery is not None:
+                self._last_source, self._failed_source = address, ""
                 if delivery.edition.version > self.version:
                     self._adopt(delivery)
                 return
             code = errorcodes.CALL_NOT_READY
             reason = "the peer has no newer configuration to send"
+        self._failed_source = address
         self._log.record(
             logevents.ConfigPullFailed(
                 version=self.version,
