Receive the bodies of calls as the link has room

All late instances but those of the zone that was cut off run the service that takes uploads. Cause: each slot requested its body at once: nine of 60 KB are 1.2 s of a link of 3.5 Mbit/s, which is longer than the limits for a connection (0.25 s), a report (0.5 s), a pull and a silent connection (1 s). So all of these failed and began anew, uploads included. Change: the daemon beside the upstream requests bodies while those on their way fill the link for at most 0.2 s; the head of a call tells the size of its body.

--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -156,7 +156,7 @@
     async def store_answer(response: exchange.Response) -> None:
         answers.append(response.open)
 
-    opened = request.open._replace(body=b"", last=False)
+    opened = request.open._replace(body=b"", last=False, body_bytes=len(body))
     split = request._replace(open=opened, body=pieces())
     try:
         await forward(links, address, split, store_answer)
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -12,6 +12,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import futures
+from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.calls import call_queue
 from rattangauge.calls import exchange
@@ -22,6 +23,7 @@
 from rattangauge.http import messages as http_messages
 from rattangauge.membership import heartbeats
 from rattangauge.sidecar import headernames
+from rattangauge.sidecar import receivebudget
 
 # Longest queue, in calls for each slot of the upstream.
 MAX_QUEUED_PER_SLOT = 4
@@ -32,10 +34,20 @@
 
     def __init__(
         self,
+        settings: settings_module.Settings,
         header_names: headernames.HeaderNames,
         log: decisionlog.DecisionLog,
     ) -> None:
-        """Creates the state before the first heartbeat of an upstream."""
+        """Creates the state before the first heartbeat of an upstream.
+
+        Args:
+            settings: Settings of the daemon.
+            header_names: Names of the HTTP headers of the platform.
+            log: Log of decisions.
+        """
+        self._receive_budget = receivebudget.ReceiveBudget(
+            settings.instance.link_mbps
+        )
         self._header_names = header_names
         self._log = log
         self._upstream: heartbeats.Upstream | None = None
@@ -190,7 +202,7 @@
         try:
             await self._wait_for_slot(queue, waiter, request)
             started_at = time.monotonic()
-            request = await _receive_body(request)
+            request = await self._receive_body_in_turn(request)
             received_at = time.monotonic()
             self._running_request_ids.add(request_id)
             answer = await self._exchange(client, upstream, request)
@@ -213,6 +225,27 @@
         )
         return answer._replace(load=self._load_for(request))
 
+    async def _receive_body_in_turn(
+        self, request: exchange.Request
+    ) -> exchange.Request:
+        """Receives the body of a call when the network link has room for it.
+
+        Raises:
+            exchange.CallFailed: The body was not received completely. The call
+                did not run.
+        """
+        if request.body is None:
+            return request
+        size = request.open.body_bytes
+        try:
+            async with self._receive_budget.reserve(size, request.deadline):
+                return await _receive_body(request)
+        except TimeoutError as error:
+            text = (
+                "the deadline passed before the network had room for the body"
+            )
+            raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
+
     def _make_waiter(self, request: exchange.Request) -> call_queue.QueuedCall:
         call_open = request.open
         target_s = call_open.target_ms / 1000
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -76,7 +76,9 @@
         self._read_announcement = read_announcement
         self._links = connection_pool.Links(settings, tasks)
         self._peers = peers_module.PeerTable(_own_member(settings))
-        self._local_upstream = localupstream.LocalUpstream(header_names, log)
+        self._local_upstream = localupstream.LocalUpstream(
+            settings, header_names, log
+        )
         self._dispatcher = dispatch_module.Dispatcher(
             settings,
             header_names,
