--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -24,8 +24,10 @@
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
 from rattangauge.sidecar import calllog
+from rattangauge.sidecar import callprogress
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import localupstream
+from rattangauge.sidecar import responses
 
 # Number of daemons that may refuse a call before the caller gets a refusal.
 MAX_REFUSALS = 2
@@ -72,45 +74,6 @@
     target_at: float
 
 
-class _CallProgress:
-    """State of a call over all its attempts.
-
-    Attributes:
-        tried: Mesh addresses of the instances to which the call was sent.
-        retries: Attempts after the first one that reached an upstream.
-        refusals: Daemons that refused the call and did not pass it to their
-            upstream.
-        may_have_run: Whether an upstream may have run the call.
-        was_refused: Whether the last attempt ended in such a refusal.
-        answer: The last answer of an upstream.
-        failure: The last failure.
-    """
-
-    def __init__(self) -> None:
-        self.tried: set[str] = set()
-        self.retries = 0
-        self.refusals = 0
-        self.may_have_run = False
-        self.was_refused = False
-        self.answer: messages.AnswerOpen | None = None
-        self.failure: exchange.CallFailed | None = None
-
-    def record_answer(self, answer: messages.AnswerOpen) -> None:
-        """Records the answer of an upstream."""
-        self.answer = answer
-        self.was_refused = False
-        self.may_have_run = True
-
-    def record_failure(self, failure: exchange.CallFailed) -> None:
-        """Records the failure of an attempt."""
-        self.failure = failure
-        is_not_run = failure.outcome == messages.Outcome.NOT_RUN
-        reached_upstream = failure.code == errorcodes.CALL_UPSTREAM_REFUSED
-        self.was_refused = is_not_run and not reached_upstream
-        self.refusals += self.was_refused
-        self.may_have_run |= not is_not_run
-
-
 class Dispatcher:
     """Sends each request of a caller to an instance of its service.
 
@@ -218,7 +181,7 @@
             request.received_at,
             retry_after_s=retry_after_s,
         )
-        return _error_response(status, failure.message, retry_after_s)
+        return responses.error(status, failure.message, retry_after_s)
 
     def _make_call(
         self, request: http_messages.Request, target: routes.Target
@@ -306,7 +269,7 @@
             The response to the caller.
         """
         self._retry_budget.add_call()
-        progress = _CallProgress()
+        progress = callprogress.CallProgress()
         while (peer := self._choose_instance(call, progress.tried)) is not None:
             if self._is_refusal_expected(call, peer):
                 text = "all instances report too long a wait"
@@ -332,7 +295,7 @@
                 call.received_at,
                 len(progress.tried),
             )
-            return _response(progress.answer)
+            return responses.from_answer(progress.answer)
         return self._failure_response(call, progress)
 
     def _is_refusal_expected(
@@ -368,7 +331,9 @@
             0.0, longest_wait_s
         )
 
-    def _may_try_another(self, call: _Call, progress: _CallProgress) -> bool:
+    def _may_try_another(
+        self, call: _Call, progress: callprogress.CallProgress
+    ) -> bool:
         """Tells whether a call may be sent to one more instance.
 
         A call that may have run is only repeated if its route is idempotent. A
@@ -381,7 +346,9 @@
             return progress.refusals < MAX_REFUSALS
         return self._take_retry(call, progress)
 
-    def _take_retry(self, call: _Call, progress: _CallProgress) -> bool:
+    def _take_retry(
+        self, call: _Call, progress: callprogress.CallProgress
+    ) -> bool:
         """Takes a retry from the retry budget.
 
         Returns:
@@ -507,7 +474,7 @@
         )
 
     def _failure_response(
-        self, call: _Call, progress: _CallProgress
+        self, call: _Call, progress: callprogress.CallProgress
     ) -> http_messages.Response:
         """Logs a call that no upstream answered and returns its response."""
         failure = progress.failure
@@ -525,7 +492,7 @@
             len(progress.tried),
             retry_after_s,
         )
-        return _error_response(status, str(failure), retry_after_s)
+        return responses.error(status, str(failure), retry_after_s)
 
     def _status_and_retry_after(
         self, call: _Call, failure: exchange.CallFailed
@@ -545,19 +512,3 @@
             self._random.random(),
         )
         return 503, retry_after_s
-
-
-def _response(answer: messages.AnswerOpen) -> http_messages.Response:
-    headers = tuple((header.name, header.value) for header in answer.headers)
-    return http_messages.Response(answer.status, headers, answer.body)
-
-
-def _error_response(
-    status: int, text: str, retry_after_s: float = 0.0
-) -> http_messages.Response:
-    headers = [(b"content-type", b"text/plain; charset=utf-8")]
-    if retry_after_s:
-        headers.append((b"retry-after", b"%g" % retry_after_s))
-    return http_messages.Response(
-        status, tuple(headers), (text + "\n").encode()
-    )
