--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -353,3 +353,38 @@
         spec = meshes.configuration(3, paths, ["skladby", "objednavky"])
         reused = converter.convert(spec)
         assert reused == configuration.Converter().convert(spec)
+
+
+UNEXPECTED_ANSWERS = [
+    {},
+    {"store-revision": None, "items": [], "events": []},
+    {"store-revision": "7", "items": [], "events": []},
+    {"store-revision": 7, "items": {}, "events": 1},
+    {"store-revision": 7, "items": None, "events": None},
+    {"store-revision": 7, "items": [1], "events": [1], "more": True},
+    {"store-revision": 7, "items": [{"metadata": 1}], "more": True},
+]
+
+
+@pytest.mark.parametrize("answer", UNEXPECTED_ANSWERS)
+async def test_an_answer_that_the_store_does_not_specify_has_a_code(answer):
+    """Guards against a daemon that ends at an answer with other fields."""
+    transport = httpx.MockTransport(
+        lambda _request: httpx.Response(200, json=answer)
+    )
+    calls = (
+        lambda store: store.read_configuration(),
+        lambda store: store.watch_configuration(5, 0.1),
+        lambda store: store.list_daemons(False),
+    )
+    async with httpx.AsyncClient(
+        base_url="http://store", transport=transport
+    ) as client:
+        store = store_module.ObjectStore(client)
+        for call in calls:
+            try:
+                result = await call(store)
+            except errors.CodedError as error:
+                assert error.code == errorcodes.STORE_PROTOCOL
+            else:
+                assert result in ([], (7, 0, None, 0))
