Limit responses of an upstream that never end

Here a head, an interim response, a chunk extension or a trailer without end had no limit, and a body 64 MiB, so a few fill the memory of a small instance. Cause: httptools reports a header only when it is complete and some parts never; the limits counted what it reports. Change: the bytes of an unfinished message that are not its body are limited, in responses and in requests alike; a body may have 32 MiB, the unfinished bodies of an upstream 48 MiB; the connection is closed at once. The text of 431 names the limit.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import math
 import os
 import socket
@@ -28,7 +29,10 @@
 # Keep-alive timeout of an upstream that does not announce one.
 DEFAULT_IDLE_S = 4.0
 MAX_HEADER_BYTES = 65_536
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Limit of the bodies that all connections to an upstream have received in part.
+# Those of several responses without end would otherwise fill the memory.
+MAX_UNFINISHED_BYTES = 48 * 1024 * 1024
 # Number of responses to other requests after which an exchange fails.
 MAX_SKIPPED = 8
 
@@ -51,7 +55,14 @@
             the clock of ``time.monotonic``, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, check_memory: Callable[[], None]) -> None:
+        """Creates a connection.
+
+        Args:
+            check_memory: Called after received bytes; raises
+                ``parsing.MessageError`` if they are too many.
+        """
+        self._check_memory = check_memory
         self._has_ended = False
         self.reusable_until = 0.0
         self._reader: parsing.ResponseReader | None = None
@@ -65,6 +76,11 @@
         # which may be before it calls connection_lost.
         return not self._has_ended and not self._transport.is_closing()
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Received bytes of the body of a response that is not complete."""
+        return self._reader.body_size if self._reader is not None else 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
         self._transport: Any = transport
@@ -76,8 +92,10 @@
             return
         try:
             self._reader.feed(data)
+            self._check_memory()
         except parsing.MessageError as error:
             self._error = error
+            self.abort()
         futures.wake(self._response_waiter)
 
     def eof_received(self) -> bool:
@@ -176,6 +194,7 @@
         self._address = address
         self._id_header = id_header
         self._idle: list[_Connection] = []
+        self._active: set[_Connection] = set()
 
     @property
     def address(self) -> util.Address:
@@ -204,11 +223,13 @@
             TimeoutError: No response was received by the deadline.
         """
         connection = await self._connect()
+        self._active.add(connection)
         response = None
         try:
             connection.send(messages.encode_request(request))
             response = await self._receive(connection, request, deadline)
         finally:
+            self._active.discard(connection)
             is_reusable = connection.finish()
             if response is None or not (is_reusable and response.keeps_alive):
                 connection.abort()
@@ -218,6 +239,17 @@
             self._idle.append(connection)
         return response
 
+    def _check_memory(self) -> None:
+        """Checks the bodies that have been received in part.
+
+        Raises:
+            parsing.MessageError: They exceed the limit.
+        """
+        size = sum(active.unfinished_bytes for active in self._active)
+        if size > MAX_UNFINISHED_BYTES:
+            text = f"the unfinished responses have {size} bytes"
+            raise parsing.MessageError(413, text)
+
     async def _connect(self) -> _Connection:
         """Returns an idle connection that may be reused, or opens one.
 
@@ -234,7 +266,9 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _transport, connection = await loop.create_connection(
-                    _Connection, self._address.host, self._address.port
+                    lambda: _Connection(self._check_memory),
+                    self._address.host,
+                    self._address.port,
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(repr(error)) from error
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -9,6 +9,10 @@
 
 from rattangauge.http import messages
 
+# Bytes of a message beside its headers and body, such as the lengths of chunks,
+# that are allowed for each byte of the body. A chunk of one byte needs five.
+MAX_FRAMING_PER_BODY_BYTE = 8
+
 
 class MessageError(Exception):
     """Received bytes are not valid HTTP or exceed a limit.
@@ -84,7 +88,8 @@
         """Adds to the size of the headers and checks the limit."""
         self._header_size += size
         if self._header_size > self._limits.header_bytes:
-            self._fail(431, f"its headers exceed {self._header_size} bytes")
+            limit = self._limits.header_bytes
+            self._fail(431, f"its headers exceed {limit} bytes")
 
     def on_message_begin(self) -> None:
         """Starts a new message."""
@@ -103,6 +108,27 @@
             self._fail(413, f"its body exceeds {self._limits.body_bytes} bytes")
         self._body_parts.append(data)
 
+    def _check_framing(self, received: int) -> None:
+        """Checks the size of an unfinished message without its body.
+
+        httptools reports a header or trailer only when it is complete, and
+        neither the length of a chunk nor an interim response, so those that
+        never end must be limited here.
+
+        Args:
+            received: Bytes of the message that have been received.
+
+        Raises:
+            MessageError: They exceed the limit.
+        """
+        limit = self._limits.header_bytes
+        if self._has_headers:
+            # Trailers may be as large as the headers.
+            limit *= 2
+        limit += MAX_FRAMING_PER_BODY_BYTE * self._body_size
+        if received - self._body_size > limit:
+            raise MessageError(431, "its headers or chunks do not end")
+
     def _check_lengths(self) -> None:
         """Rejects ambiguous lengths (request smuggling) and large bodies."""
         names = [name for name, _value in self._headers]
@@ -143,7 +169,7 @@
         self._is_first = True
         self._parser = httptools.HttpRequestParser(self)
         self._headers_at = 0.0
-        self._unfinished_header_bytes = 0
+        self._unfinished_bytes = 0
         self._now = 0.0
         self.requests: deque[messages.Request] = deque()
 
@@ -171,15 +197,15 @@
             MessageError: They are not valid HTTP or exceed a limit.
         """
         self._now = now
+        complete_count = len(self.requests)
         self._feed(self._parser, data)
-        # httptools reports a header only when it is complete, so a header that
-        # never ends must be limited here.
-        if self._has_headers or not self._has_begun:
-            self._unfinished_header_bytes = 0
+        if not self._has_begun or len(self.requests) > complete_count:
+            # The bytes of a message that begins in these data count from the
+            # next data on.
+            self._unfinished_bytes = 0
             return
-        self._unfinished_header_bytes += len(data)
-        if self._unfinished_header_bytes > self._limits.header_bytes:
-            raise MessageError(431, "its headers do not end")
+        self._unfinished_bytes += len(data)
+        self._check_framing(self._unfinished_bytes)
 
     def on_url(self, data: bytes) -> None:
         """Adds a piece of the request target."""
@@ -220,6 +246,7 @@
         """Creates a parser for a new connection."""
         super().__init__(limits)
         self._parser = httptools.HttpResponseParser(self)
+        self._received = 0
         self.responses: deque[messages.Response] = deque()
 
     def feed(self, data: bytes) -> None:
@@ -228,7 +255,12 @@
         Raises:
             MessageError: They are not valid HTTP or exceed a limit.
         """
+        self._received += len(data)
         self._feed(self._parser, data)
+        if self.responses:
+            self._received = 0
+        else:
+            self._check_framing(self._received)
 
     def end(self) -> None:
         """Handles the regular end of the connection; a reset is not one.
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import struct
+import time
 
 import anyio
 import pytest
@@ -191,6 +192,96 @@
             assert (await client.exchange(request())).body == b"half"
 
 
+def endless(begin, more, piece_bytes=65_536):
+    """Returns a script that sends a response which never ends.
+
+    Args:
+        begin: First bytes of the response.
+        more: Bytes that are repeated until the client closes.
+        piece_bytes: Bytes to send at a time.
+    """
+    sent = []
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(begin)
+        piece = more * (piece_bytes // len(more))
+        with contextlib.suppress(anyio.BrokenResourceError):
+            while True:
+                await stream.send(piece)
+                sent.append(len(piece))
+
+    return script, sent
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n" + OWN
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begin", "more"),
+    [
+        (b"", b"nonsense"),
+        (b"HTTP/1.1 200 ", b"a"),
+        (HEAD + b"X: ", b"a"),
+        (HEAD, b"X: a\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (CHUNKED + b"5;", b"a"),
+        (CHUNKED + b"0\r\nX: ", b"a"),
+        (CHUNKED + b"0\r\n", b"X: a\r\n"),
+    ],
+)
+async def test_a_head_or_chunk_without_end_is_no_response(begin, more):
+    """Guards against bytes without end that fill the memory or the time."""
+    script, sent = endless(begin, more)
+    async with scripted(script) as (client, accepted):
+        with anyio.fail_after(2), pytest.raises(client_module.NoResponseError):
+            await client.exchange(request(), time.monotonic() + 10)
+        assert len(accepted) == 1
+    # What the client had read, and what the sockets hold beyond it.
+    assert sum(sent) < 16 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("begin", "more"),
+    [
+        (HEAD + b"\r\n", b"a"),
+        (CHUNKED, b"8000\r\n" + b"a" * 0x8000 + b"\r\n"),
+    ],
+)
+async def test_bodies_without_end_fill_a_bounded_memory(begin, more):
+    """Guards against a daemon that ends since it has no memory left."""
+    script, sent = endless(begin, more)
+    failed = []
+
+    async def exchange(client):
+        with pytest.raises(client_module.NoResponseError):
+            await client.exchange(request(), time.monotonic() + 20)
+        failed.append(client)
+
+    async with scripted(script) as (client, _accepted):
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(4):
+                    tasks.start_soon(exchange, client)
+        assert len(failed) == 4
+    # All four begin at the same time, so the sum of their parts is limited.
+    assert sum(sent) < 3 * client_module.MAX_UNFINISHED_BYTES
+
+
+async def test_chunks_of_one_byte_are_a_response():
+    """Guards against a limit on framing that real responses exceed."""
+    count = 30_000
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(CHUNKED + b"1\r\na\r\n" * count + b"0\r\n\r\n")
+
+    async with scripted(script) as (client, _accepted):
+        response = await client.exchange(request())
+    assert response.body == b"a" * count
+
+
 async def test_an_upstream_that_answers_early_gets_no_other_bytes():
     """Guards against a request that is read as the body of an earlier one."""
 
