Poll first those watchers that hear the store

Seen: test_followers_of_a_lost_watcher_poll_another_one_at_once failed in one of eight runs: two followers read the store though three watchers were left. Cause: after the loss of a watcher its followers took the next daemon by rank, which did not know yet that it had become a watcher. Change: of the watchers, those that have said that they hear the store are polled first; an answer to a poll updates that too. Result: test_watchers_that_hear_the_store_are_polled_first.

--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -262,7 +262,9 @@
         if peer is not None:
             if isinstance(reply, messages.VersionAck):
                 version = max(reply.version, peer.member.version)
-                peer.member = peer.member._replace(version=version)
+                peer.member = peer.member._replace(
+                    version=version, watches=reply.watches
+                )
                 peer.set_watching(reply.watches, time.monotonic())
             if peer.failures:
                 self._log.record(logevents.DependencyRegained(address))
--- a/rattangauge/sidecar/watchers.py
+++ b/rattangauge/sidecar/watchers.py
@@ -71,7 +71,11 @@
 
 
 def sources(peers: peers_module.PeerTable) -> list[peers_module.Peer]:
-    """Returns the watchers that a daemon polls; none if it is a watcher."""
+    """Returns the watchers that a daemon polls; none if it is a watcher.
+
+    Those that have said that they hear the store come first: a daemon that has
+    become a watcher because another one was lost may not know it yet.
+    """
     zone_peers = _zone_peers(peers)
     if len(zone_peers) <= MAX_DAEMONS_WITHOUT_FOLLOWERS:
         return []
@@ -79,9 +83,12 @@
     own = peers.own
     if own in zone_watchers:
         return []
-    zone_watchers.sort(
-        key=lambda peer: _hash(own.member.mesh, peer.member.mesh)
-    )
+
+    def rank(peer: peers_module.Peer) -> tuple[bool, int]:
+        member = peer.member
+        return not member.watches, _hash(own.member.mesh, member.mesh)
+
+    zone_watchers.sort(key=rank)
     return zone_watchers[:SOURCE_COUNT]
 
 
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -106,6 +106,23 @@
     assert watchers.must_watch(sources, 20.1)
 
 
+def test_watchers_that_hear_the_store_are_polled_first():
+    """Guards against sources that do not know yet that they must watch."""
+    table = next(
+        table
+        for own in range(1, LARGE_ZONE_SIZE + 1)
+        if watchers.sources(table := peer_table(own, LARGE_ZONE_SIZE))
+    )
+    first, second, third = watchers.sources(table)
+    others = addresses(watchers._zone_watchers(list(table)))
+    for address in others - {first.member.mesh, second.member.mesh}:
+        peer = table.get(address)
+        peer.member = peer.member._replace(watches=True)
+    sources = addresses(watchers.sources(table))
+    assert third.member.mesh in sources
+    assert not {first.member.mesh, second.member.mesh} & sources
+
+
 def test_watchers_that_cannot_be_reached_are_replaced():
     """Guards against a follower that keeps polling unreachable watchers."""
     table = next(
