--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -337,6 +337,14 @@
             await instance.send_heartbeat(**fields)
         await anyio.sleep(0.1)
 
+    async def start_instances(self, paths, *names, **fields):
+        """Publishes paths and starts instances; fields are those of ``add``."""
+        self.publish(paths)
+        for name in names:
+            await self.add(name, **fields)
+        await self.wait_ready()
+        await self.send_heartbeats()
+
     async def connect(self, name):
         """Opens a connection of a caller to an instance."""
         address = self.instances[name].settings.listen.callers
