Test that a request which changes something waits behind others

Cause: the edit orders-run-ahead survived: in its test the first request closes the connection, so the second was never read, whatever the mechanism does. Change: the test also sends a GET, a POST and a GET on one connection that stays open, and expects each to end before the next begins.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -121,6 +121,16 @@
     )
     await exchange(data, slow)
     assert order == [("begin", "GET"), ("end", "GET")]
+    order.clear()
+    data = (
+        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    )
+    await exchange(data, slow)
+    methods = ("GET", "POST", "GET")
+    states = ("begin", "end")
+    assert order == [(state, name) for name in methods for state in states]
 
 
 async def test_a_body_in_chunks_is_whole():
