Free the room of a body that does not come

Cause: a body whose sender is slow or silent kept its room on the link up to the deadline of the call, so one slow sender would hold all other bodies back. The senders of the test have the platform's limits; its checks are unchanged.

--- a/rattangauge/sidecar/receivebudget.py
+++ b/rattangauge/sidecar/receivebudget.py
@@ -3,11 +3,15 @@
 Bodies of many calls at the same time would fill the network link of a small
 instance for longer than other daemons wait for an answer. Reports of the
 peers, the configuration and short calls would then fail with them.
+
+A body whose sender is slow does not fill the link, so its room is used for
+others after the time in which the link could have carried it.
 """
 
 import asyncio
 from collections import deque
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import math
 from typing import NamedTuple
@@ -32,6 +36,22 @@
     granted: "asyncio.Future[None]"
 
 
+class _Reservation:
+    """Room for one body, which is freed once."""
+
+    def __init__(self, size: float, free: Callable[[float], None]) -> None:
+        """Creates a reservation; ``free`` is called with its size."""
+        self._size = size
+        self._free = free
+        self._is_freed = False
+
+    def end(self) -> None:
+        """Frees the room, unless this was done before."""
+        if not self._is_freed:
+            self._is_freed = True
+            self._free(self._size)
+
+
 class ReceiveBudget:
     """Decides when the body of a call may be requested from its sender.
 
@@ -45,8 +65,8 @@
             link_mbps: Rate of the instance's network link in Mbit/s; 0 if it is
                 unknown, which sets no limit.
         """
-        bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
-        self._limit = bytes_per_s * MAX_LINK_TIME_S or math.inf
+        self._bytes_per_s = link_mbps * BYTES_PER_S_PER_MBPS
+        self._limit = self._bytes_per_s * MAX_LINK_TIME_S or math.inf
         self._reserved = 0.0
         self._waiting: deque[_Request] = deque()
 
@@ -69,15 +89,21 @@
         Raises:
             TimeoutError: There was no room before the deadline.
         """
-        reserved = min(size or self._limit, self._limit)
         if math.isinf(self._limit):
             yield
             return
+        reserved = min(size or self._limit, self._limit)
         await self._wait(reserved, deadline)
+        reservation = _Reservation(reserved, self._release)
+        transfer_s = max(size, reserved) / self._bytes_per_s
+        timer = asyncio.get_running_loop().call_later(
+            MAX_LINK_TIME_S + transfer_s, reservation.end
+        )
         try:
             yield
         finally:
-            self._release(reserved)
+            timer.cancel()
+            reservation.end()
 
     async def _wait(self, size: float, deadline: float) -> None:
         granted = asyncio.get_running_loop().create_future()
--- a/tests/test_receivebudget.py
+++ b/tests/test_receivebudget.py
@@ -80,6 +80,26 @@
     assert budget.reserved_bytes == 0
 
 
+async def test_a_body_that_does_not_come_frees_its_room():
+    """Guards against a slow sender that keeps all others waiting."""
+    budget = receivebudget.ReceiveBudget(LINK_MBPS)
+    granted = []
+    stalled, second = anyio.Event(), anyio.Event()
+    second.set()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(receive, budget, 100_000, granted, stalled)
+        await anyio.sleep(0.01)
+        began = anyio.current_time()
+        await receive(budget, 100_000, granted, second)
+        waited_s = anyio.current_time() - began
+        # The link carries the first body in MAX_LINK_TIME_S.
+        assert waited_s >= 1.9 * receivebudget.MAX_LINK_TIME_S
+        assert waited_s < 1.0
+        assert budget.reserved_bytes == 0
+        stalled.set()
+    assert budget.reserved_bytes == 0
+
+
 async def test_an_unknown_rate_sets_no_limit():
     """Guards against limits on links whose rate is not in the settings."""
     budget = receivebudget.ReceiveBudget(0.0)
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -45,9 +45,25 @@
     return "asyncio", {"use_uvloop": True}
 
 
+def use_platform_limits(instance):
+    """Sets the time limits of the platform's settings."""
+    settings = instance.settings
+    instance.settings = settings._replace(
+        mesh=settings.mesh._replace(connect_timeout_s=0.25, silence_s=1.0),
+        platform=settings.platform._replace(timeout_s=1.0),
+    )
+
+
+async def add_sender(mesh, name):
+    """Adds an instance with a fast link."""
+    use_platform_limits(await mesh.prepare(name))
+    mesh.start(name)
+
+
 async def add_behind_slow_link(mesh, name, monkeypatch):
     """Adds an instance whose connections all share a slow link."""
     instance = await mesh.prepare(name, "nahravky", work_s=0.1)
+    use_platform_limits(instance)
     settings = instance.settings
     host = settings.listen.mesh.rpartition(":")[0]
     link = slowlink.SlowLink(mesh.tasks, BYTES_PER_S, host)
@@ -56,10 +72,7 @@
     instance.settings = settings._replace(
         instance=settings.instance._replace(link_mbps=LINK_MBPS),
         listen=settings.listen._replace(advertise=advertise),
-        mesh=settings.mesh._replace(connect_timeout_s=0.25, silence_s=1.0),
-        platform=settings.platform._replace(
-            url=f"http://{store}", timeout_s=1.0
-        ),
+        platform=settings.platform._replace(url=f"http://{store}"),
     )
     establish = connection_pool.Links._establish
 
@@ -97,7 +110,7 @@
         publish(mesh, [])
         instance = await add_behind_slow_link(mesh, "slow", monkeypatch)
         for number in range(SENDER_COUNT):
-            await mesh.add(f"n{number}")
+            await add_sender(mesh, f"n{number}")
         await mesh.wait_ready()
         await mesh.send_heartbeats(slots=9)
         statuses = []
