Log each failed call of the store with the age of its last answer

Cause: the log could not tell a connection to the store that went silent from a store that refuses calls: dependency_lost gives the error alone, and only for the first failure in a row. Change: store_call_failed tells the call (read or watch), how long it waited and the age of the last answer. Result: test_configsync, test_decisionlog and test_followers pass.

--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -148,6 +148,11 @@
         age_s = time.monotonic() - self._store_answered_at
         return self.is_store_reachable and age_s < WATCH_S + WATCH_GRACE_S
 
+    @property
+    def _call_form(self) -> Form:
+        """Form of the next call of the store."""
+        return Form.WATCH if self._revision else Form.READ
+
     async def run(self) -> None:
         """Keeps the configuration up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -162,10 +167,12 @@
                 self._restart_watch()
                 await anyio.sleep(WATCH_CHECK_PERIOD_S)
                 continue
+            requested_at = time.monotonic()
             try:
                 await self._ask_store()
             except errors.CodedError as error:
                 self._record_store_state(error)
+                self._record_failed_call(error, requested_at)
                 self._restart_watch()
                 failures += error.code != errorcodes.STORE_COMPACTED
                 await anyio.sleep(self._retry_delay_s(failures))
@@ -183,7 +190,7 @@
         Raises:
             errors.CodedError: The store did not answer.
         """
-        form = Form.WATCH if self._revision else Form.READ
+        form = self._call_form
         requested_at = time.monotonic()
         if form is Form.WATCH:
             result = await self._store.watch_configuration(
@@ -278,6 +285,32 @@
                 logevents.DependencyLost("store", error.code, error.message)
             )
 
+    def _record_failed_call(
+        self, error: errors.CodedError, requested_at: float
+    ) -> None:
+        """Logs a failed call of the store.
+
+        The age of the last answer tells a connection that went silent from a
+        store that refuses calls.
+
+        Args:
+            error: Why the call failed.
+            requested_at: Monotonic time of the call, in seconds.
+        """
+        answer_age_ms = -1
+        if math.isfinite(self._store_answered_at):
+            answer_age_ms = _elapsed_ms(self._store_answered_at)
+        self._log.record(
+            logevents.StoreCallFailed(
+                call=self._call_form.value,
+                version=self.version,
+                waited_ms=_elapsed_ms(requested_at),
+                answer_age_ms=answer_age_ms,
+                code=error.code,
+                reason=error.message,
+            )
+        )
+
     def _adopt_from_store(
         self,
         result: stores.ConfigurationResult,
