Notice silent connections to the store before the daemon counts as stable

What callers saw: CONFIG. Cause: a watch waited 3 s and its answer one second more on a connection that had gone silent: 4 s, where the daemon counts as stable again after 3 s. All watches begin together after a change, so no peer was earlier. Class: a wait on an open connection that outlasts the time within which the answer is needed.

--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -27,14 +27,20 @@
 from rattangauge.sidecar import stores
 from rattangauge.sidecar import watchers
 
-# Duration of one watch of the store. A connection that went silent is noticed
-# only when the watch ends, so watches are short.
-WATCH_S = 3.0
+# Longest watch of the store. A connection that went silent is noticed only when
+# the answer to the watch is overdue, and the newest configuration must be in
+# force before the daemon counts as stable again.
+WATCH_S = 1.5
+# Shortest watch, as a share of the longest. The watches of all daemons begin
+# together after a change; they end at different times, so that the first daemon
+# that notices a silent connection can tell the others.
+MIN_WATCH_SHARE = 0.6
 # Pause after a change, so that several changes in a row are read by one watch:
 # each watch that ends costs the store a call.
 HOLD_OFF_S = 0.3
-# Delay after failed calls of the store. It doubles with each failure in a row,
-# up to the second value.
+# Time from a failed call of the store to the next one. It doubles with each
+# failure in a row, up to the second value. A call that took longer before it
+# failed is repeated at once.
 RETRY_S = 0.15
 MAX_RETRY_S = 1.0
 # A daemon that watches the store pulls from a peer only if the store has not
@@ -175,7 +181,9 @@
                 self._record_failed_call(error, requested_at)
                 self._restart_watch()
                 failures += error.code != errorcodes.STORE_COMPACTED
-                await anyio.sleep(self._retry_delay_s(failures))
+                waited_s = time.monotonic() - requested_at
+                delay_s = self._retry_delay_s(failures) - waited_s
+                await anyio.sleep(max(0.0, delay_s))
             else:
                 failures = 0
 
@@ -193,8 +201,9 @@
         form = self._call_form
         requested_at = time.monotonic()
         if form is Form.WATCH:
+            share = self._random.uniform(MIN_WATCH_SHARE, 1.0)
             result = await self._store.watch_configuration(
-                self._revision, WATCH_S
+                self._revision, share * WATCH_S
             )
         else:
             result = await self._store.read_configuration()
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -83,6 +83,34 @@
     }
 
 
+def daemon_settings(name, service, zone, store_address, upstream_address=""):
+    """Returns the settings of a daemon with addresses that are free."""
+    return settings_module.Settings(
+        instance=generated.Instance(
+            name,
+            zone,
+            "sk-west",
+            service,
+            upstream_address,
+            link_mbps=LINK_MBPS,
+        ),
+        listen=generated.Listen(
+            callers=free_address(),
+            mesh=free_address(),
+            operators=free_address(),
+            control=free_address(),
+            ready=free_address(),
+        ),
+        mesh=generated.Mesh(
+            connect_timeout_s=0.2, silence_s=0.4, news_period_s=0.2
+        ),
+        platform=generated.Platform(f"http://{store_address}", 0.5),
+        calls=generated.Calls(),
+        shutdown=generated.Shutdown(limit_s=4.0),
+        log=generated.Log(),
+    )
+
+
 class Instance:
     """One instance: a daemon and its upstream.
 
@@ -106,29 +134,8 @@
         self.log = decisionlog.DecisionLog(name, zone, self._write)
         self._heartbeat_sequence = 0
         self._scope = None
-        self.settings = settings_module.Settings(
-            instance=generated.Instance(
-                name,
-                zone,
-                "sk-west",
-                service,
-                upstream.address,
-                link_mbps=LINK_MBPS,
-            ),
-            listen=generated.Listen(
-                callers=free_address(),
-                mesh=free_address(),
-                operators=free_address(),
-                control=free_address(),
-                ready=free_address(),
-            ),
-            mesh=generated.Mesh(
-                connect_timeout_s=0.2, silence_s=0.4, news_period_s=0.2
-            ),
-            platform=generated.Platform(f"http://{store_address}", 0.5),
-            calls=generated.Calls(),
-            shutdown=generated.Shutdown(limit_s=4.0),
-            log=generated.Log(),
+        self.settings = daemon_settings(
+            name, service, zone, store_address, upstream.address
         )
 
     def _write(self, data):
