Keep to the rate of requests that an upstream names

What callers saw: LIMIT. Cause: nothing read the header, so the slots alone bounded the calls. Class: a word of another process that the platform added and no reader knew. Change: the daemon beside the upstream, the only way to it, starts no more calls than the named rate; the rest waits in its queue, whose expected waits count the rate, or is refused as not run. Peers see as many slots as the rate keeps busy. A limit ends with an answer without it to a request that was sent after the last answer with it. A value that is no decimal number is logged once and ignored.

--- a/rattangauge/calls/call_queue.py
+++ b/rattangauge/calls/call_queue.py
@@ -11,11 +11,12 @@
 """
 
 import bisect
-from collections.abc import Iterable
 import itertools
 import math
 from typing import NamedTuple
 
+from rattangauge.calls import request_rate
+
 # Hold time to assume before any is known.
 DEFAULT_HOLD_S = 0.05
 # Weight of a new hold time in the moving average of its kind of calls.
@@ -209,6 +210,7 @@
         self._waiting: list[_Entry] = []
         self._kind_hold_s: dict[str, float] = {}
         self._pace = _HoldTimeEstimate(now)
+        self._rate: request_rate.RequestRate | None = None
         self._arrivals = itertools.count()
         self._is_closed = False
 
@@ -217,6 +219,18 @@
         """Calls that may run at a time."""
         return self._slots
 
+    @property
+    def concurrency(self) -> int:
+        """Slots that are of use: fewer than all under a limit on the rate.
+
+        By Little's law a rate keeps as many slots busy as the rate times the
+        mean hold time.
+        """
+        if self._rate is None:
+            return self._slots
+        busy = math.ceil(self._rate.rate_per_s * self.mean_hold_s)
+        return max(1, min(self._slots, busy))
+
     @property
     def running(self) -> int:
         """Calls that hold a slot."""
@@ -248,9 +262,21 @@
         """
         return self._kind_hold_s.get(kind) or self._pace.hold_s
 
-    def wait_s(self) -> float:
+    def wait_s(self, now: float) -> float:
         """Returns the expected wait behind all queued calls, in seconds."""
-        return self._wait_behind(self._waiting)
+        work_s = sum(self.hold_s(e.waiter.kind) for e in self._waiting)
+        return self._expected_wait_s(self.queued, work_s, now)
+
+    def next_start_s(self, now: float) -> float | None:
+        """Returns the time until the limit on the rate lets a call start.
+
+        Returns:
+            The time in seconds; None if no call waits for that limit alone.
+        """
+        is_waiting = self._waiting and self.running < self._slots
+        if self._rate is None or not is_waiting:
+            return None
+        return self._rate.delay_s(now)
 
     def offer(self, waiter: QueuedCall, now: float) -> QueueDecision:
         """Starts, queues or refuses a call.
@@ -261,7 +287,7 @@
         self._pace.advance(self.running, now)
         if self._is_closed:
             return QueueDecision(refused=(waiter,))
-        if not self._waiting and self.running < self._slots:
+        if not self._waiting and self._may_start(now):
             return QueueDecision(started=(self._start(waiter),))
         entry = _Entry(_rank(waiter), next(self._arrivals), waiter)
         index = bisect.bisect_right(self._waiting, entry)
@@ -299,7 +325,7 @@
         """
         started = []
         refused = list(self._refuse_late(0, now))
-        while self._waiting and self.running < self._slots:
+        while self._waiting and self._may_start(now):
             started.append(self._start(self._waiting.pop(0).waiter))
         return QueueDecision(tuple(started), tuple(refused))
 
@@ -307,6 +333,15 @@
         """Sets the number of slots; calls start at the next ``advance``."""
         self._slots = slots
 
+    def set_rate(self, rate_per_s: float | None, now: float) -> None:
+        """Sets the calls that may start in a second; None for no limit."""
+        if rate_per_s is None:
+            self._rate = None
+        elif self._rate is None:
+            self._rate = request_rate.RequestRate(rate_per_s, now)
+        else:
+            self._rate.set_rate(rate_per_s, now)
+
     def close(self) -> QueueDecision:
         """Refuses all waiting calls and all that are offered from now on."""
         self._is_closed = True
@@ -314,6 +349,12 @@
         self._waiting.clear()
         return QueueDecision(refused=refused)
 
+    def _may_start(self, now: float) -> bool:
+        """Tells whether a call may start; takes it from the rate if so."""
+        if self.running >= self._slots:
+            return False
+        return self._rate is None or self._rate.take(now)
+
     def _start(self, waiter: QueuedCall) -> QueuedCall:
         """Gives a slot to a call."""
         self._running[waiter.number] = waiter
@@ -324,12 +365,20 @@
         mean_s = self._kind_hold_s.get(kind, seconds)
         self._kind_hold_s[kind] = mean_s + KIND_HOLD_WEIGHT * (seconds - mean_s)
 
-    def _wait_behind(self, ahead: Iterable[_Entry]) -> float:
-        """Returns the expected wait of a call behind others, in seconds."""
-        if self.running < self._slots:
-            return 0.0
-        work_s = sum(self.hold_s(entry.waiter.kind) for entry in ahead)
-        return (work_s + self.mean_hold_s) / max(1, self._slots)
+    def _expected_wait_s(self, ahead: int, work_s: float, now: float) -> float:
+        """Returns the expected wait of a call behind others, in seconds.
+
+        Args:
+            ahead: Waiting calls that are served first.
+            work_s: Their hold times together, in seconds.
+            now: Time.
+        """
+        wait_s = 0.0
+        if self.running + ahead >= self._slots:
+            wait_s = (work_s + self.mean_hold_s) / max(1, self._slots)
+        if self._rate is not None:
+            wait_s = max(wait_s, self._rate.delay_s(now, ahead))
+        return wait_s
 
     def _waits_too_long(
         self, waiter: QueuedCall, wait_s: float, now: float
@@ -350,10 +399,8 @@
         refused = []
         kept = self._waiting[:start]
         work_s = sum(self.hold_s(e.waiter.kind) for e in kept)
-        slots = max(1, self._slots)
         for entry in self._waiting[start:]:
-            has_slot = self.running + len(kept) < self._slots
-            wait_s = 0.0 if has_slot else (work_s + self.mean_hold_s) / slots
+            wait_s = self._expected_wait_s(len(kept), work_s, now)
             is_full = len(kept) >= self._bound
             if is_full or self._waits_too_long(entry.waiter, wait_s, now):
                 refused.append(entry.waiter)
--- a/rattangauge/sidecar/headernames.py
+++ b/rattangauge/sidecar/headernames.py
@@ -16,6 +16,8 @@
         not_run: Present in a response if the upstream did not run the request.
         execution_proof: Present in a response if the upstream ran the request.
         instance: Identity of the upstream that answers a health check.
+        named_rate: Calls a second that an upstream in need takes from all
+            daemons together, as a decimal number; in each of its responses.
         parent_id: Function, not a header. While an upstream runs a request, it
             sends calls of its own. The function takes the identity of such a
             call and returns that of the request; empty if there is none.
@@ -28,4 +30,5 @@
     not_run: bytes
     execution_proof: bytes
     instance: bytes
+    named_rate: bytes
     parent_id: Callable[[bytes], bytes]
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -24,9 +24,14 @@
 from rattangauge.membership import heartbeats
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import receivebudget
+from rattangauge.sidecar import upstreamrate
 
 # Longest queue, in calls for each slot of the upstream.
 MAX_QUEUED_PER_SLOT = 4
+# Status of a response of another upstream that has got the address.
+WRONG_INSTANCE_STATUS = 421
+# Shortest delay of a timer.
+MIN_TIMER_S = 0.001
 
 
 class LocalUpstream:
@@ -53,6 +58,9 @@
         self._upstream: heartbeats.Upstream | None = None
         self._client: client_module.Client | None = None
         self._queue = call_queue.Queue(0, 0)
+        self._named_rate = upstreamrate.NamedRate("")
+        # Starts the next call that waits for the limit on the rate.
+        self._start_timer: asyncio.TimerHandle | None = None
         # Futures of the calls that wait for a slot, by number of the call. The
         # result is whether the call got a slot.
         self._slot_futures: dict[int, asyncio.Future[bool]] = {}
@@ -81,7 +89,7 @@
         return messages.Load(
             running=self._queue.running,
             queued=self._queue.queued,
-            limit=self._queue.slots,
+            limit=self._queue.concurrency,
             service_us=int(hold_s * 1e6),
             state=self.state,
         )
@@ -160,6 +168,7 @@
         """
         if not self._queue.is_closed:
             self._resume(self._queue.close())
+        self._named_rate = upstreamrate.NamedRate(heartbeat.instance)
         max_queued = MAX_QUEUED_PER_SLOT * heartbeat.slots
         self._queue = call_queue.Queue(
             heartbeat.slots, max_queued, time.monotonic()
@@ -294,6 +303,24 @@
             self._resume_call(waiter, True)
         for waiter in outcome.refused:
             self._resume_call(waiter, False)
+        self._schedule_start()
+
+    def _schedule_start(self) -> None:
+        """Sets the timer for the next call, if the limit on the rate holds it.
+
+        All other waiting calls start when a running one ends.
+        """
+        delay_s = self._queue.next_start_s(time.monotonic())
+        if delay_s is None or self._start_timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._start_timer = loop.call_later(
+            max(MIN_TIMER_S, delay_s), self._start_waiting
+        )
+
+    def _start_waiting(self) -> None:
+        self._start_timer = None
+        self._resume(self._queue.advance(time.monotonic()))
 
     def _resume_call(
         self, waiter: call_queue.QueuedCall, has_slot: bool
@@ -323,7 +350,7 @@
                 hold_ms=round(load.service_us / 1000, 1),
             )
         )
-        wait_ms = int(self._queue.wait_s() * 1000)
+        wait_ms = int(self._queue.wait_s(time.monotonic()) * 1000)
         failure = exchange.not_run(errorcodes.CALL_OVERLOADED, text, wait_ms)
         failure.load = load
         return failure
@@ -340,6 +367,7 @@
             exchange.CallFailed: No valid answer was received by the deadline.
         """
         upstream_request = self._upstream_request(upstream, request)
+        sent_at = time.monotonic()
         try:
             response = await client.exchange(upstream_request, request.deadline)
         except client_module.NotSentError as error:
@@ -355,8 +383,41 @@
         except TimeoutError as error:
             text = "the deadline passed while the call ran"
             raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
+        self._follow_named_rate(upstream, response, sent_at)
         return self._convert_response(request, response)
 
+    def _follow_named_rate(
+        self,
+        upstream: heartbeats.Upstream,
+        response: http_messages.Response,
+        sent_at: float,
+    ) -> None:
+        """Limits the rate of calls as the upstream says in a response.
+
+        Args:
+            upstream: Upstream to which the request was sent.
+            response: Its response.
+            sent_at: Monotonic time of the request, in seconds.
+        """
+        current = self._upstream
+        if current is None or _process(current) != _process(upstream):
+            return
+        if response.status == WRONG_INSTANCE_STATUS:
+            return
+        now = time.monotonic()
+        value = response.header(self._header_names.named_rate)
+        if not self._named_rate.update(value, sent_at, now):
+            return
+        rate_per_s = self._named_rate.rate_per_s
+        self._queue.set_rate(rate_per_s, now)
+        self._log.record(
+            logevents.UpstreamRateChanged(
+                upstream=upstream.heartbeat.instance,
+                per_s=-1.0 if rate_per_s is None else rate_per_s,
+                queued=self._queue.queued,
+            )
+        )
+
     def _upstream_request(
         self, upstream: heartbeats.Upstream, request: exchange.Request
     ) -> http_messages.Request:
@@ -383,7 +444,7 @@
             exchange.CallFailed: The upstream did not run the call, or a
                 successful response has no proof that it did.
         """
-        if response.status == 421 or response.header(
+        if response.status == WRONG_INSTANCE_STATUS or response.header(
             self._header_names.not_run
         ):
             failure = exchange.not_run(
