--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -8,8 +8,6 @@
 import itertools
 import time
 
-import anyio
-
 from rattangauge import decisionlog
 from rattangauge import futures
 from rattangauge import settings as settings_module
@@ -24,12 +22,11 @@
 from rattangauge.membership import heartbeats
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import receivebudget
+from rattangauge.sidecar import upstreamhttp
 from rattangauge.sidecar import upstreamrate
 
 # Longest queue, in calls for each slot of the upstream.
 MAX_QUEUED_PER_SLOT = 4
-# Status of a response of another upstream that has got the address.
-WRONG_INSTANCE_STATUS = 421
 # Shortest delay of a timer.
 MIN_TIMER_S = 0.001
 
@@ -248,7 +245,7 @@
         size = request.open.body_bytes
         try:
             async with self._receive_budget.reserve(size, request.deadline):
-                return await _receive_body(request)
+                return await upstreamhttp.receive_body(request)
         except TimeoutError as error:
             text = (
                 "the deadline passed before the network had room for the body"
@@ -366,7 +363,9 @@
         Raises:
             exchange.CallFailed: No valid answer was received by the deadline.
         """
-        upstream_request = self._upstream_request(upstream, request)
+        upstream_request = upstreamhttp.make_request(
+            self._header_names, upstream.heartbeat.instance, request
+        )
         sent_at = time.monotonic()
         try:
             response = await client.exchange(upstream_request, request.deadline)
@@ -384,7 +383,14 @@
             text = "the deadline passed while the call ran"
             raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
         self._follow_named_rate(upstream, response, sent_at)
-        return self._convert_response(request, response)
+        if upstreamhttp.is_refusal(self._header_names, response):
+            failure = exchange.not_run(
+                errorcodes.CALL_UPSTREAM_REFUSED,
+                f"the upstream refused the call with {response.status}",
+            )
+            failure.load = self.load
+            raise failure
+        return upstreamhttp.make_answer(self._header_names, request, response)
 
     def _follow_named_rate(
         self,
@@ -402,7 +408,7 @@
         current = self._upstream
         if current is None or _process(current) != _process(upstream):
             return
-        if response.status == WRONG_INSTANCE_STATUS:
+        if response.status == upstreamhttp.WRONG_INSTANCE_STATUS:
             return
         now = time.monotonic()
         value = response.header(self._header_names.named_rate)
@@ -418,81 +424,6 @@
             )
         )
 
-    def _upstream_request(
-        self, upstream: heartbeats.Upstream, request: exchange.Request
-    ) -> http_messages.Request:
-        call_open = request.open
-        remaining_ms = int((request.deadline - time.monotonic()) * 1000)
-        instance = upstream.heartbeat.instance.encode()
-        headers = [
-            *((header.name, header.value) for header in call_open.headers),
-            (self._header_names.deadline_ms, b"%d" % max(1, remaining_ms)),
-            (self._header_names.expected_instance, instance),
-        ]
-        if call_open.body or call_open.method not in ("GET", "HEAD"):
-            headers.append((b"content-length", b"%d" % len(call_open.body)))
-        return http_messages.Request(
-            call_open.method, call_open.target, tuple(headers), call_open.body
-        )
-
-    def _convert_response(
-        self, request: exchange.Request, response: http_messages.Response
-    ) -> messages.AnswerOpen:
-        """Converts a response of the upstream to an answer.
-
-        Raises:
-            exchange.CallFailed: The upstream did not run the call, or a
-                successful response has no proof that it did.
-        """
-        if response.status == WRONG_INSTANCE_STATUS or response.header(
-            self._header_names.not_run
-        ):
-            failure = exchange.not_run(
-                errorcodes.CALL_UPSTREAM_REFUSED,
-                f"the upstream refused the call with {response.status}",
-            )
-            failure.load = self.load
-            raise failure
-        is_success = 200 <= response.status < 300
-        if is_success and not response.header(
-            self._header_names.execution_proof
-        ):
-            text = "the response of the upstream bears no seal"
-            raise exchange.unknown(text, errorcodes.CALL_UPSTREAM_FAILED)
-        headers = http_messages.end_to_end(response.headers)
-        return messages.AnswerOpen(
-            call_id=request.open.call_id,
-            status=response.status,
-            headers=tuple(messages.Header(*header) for header in headers),
-            body=response.body,
-            last=True,
-        )
-
-
-async def _receive_body(request: exchange.Request) -> exchange.Request:
-    """Receives the rest of a call's body and returns the call with it.
-
-    The body is only requested once the call has a slot, so that a refused call
-    costs no transfer between daemons.
-
-    Raises:
-        exchange.CallFailed: The body was not received completely. The call did
-            not run.
-    """
-    if request.body is None:
-        return request
-    remaining_s = max(0.0, request.deadline - time.monotonic())
-    try:
-        with anyio.fail_after(remaining_s):
-            parts = [part async for part in request.body]
-    except TimeoutError as error:
-        text = "the deadline passed before the whole body came"
-        raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
-    except exchange.CallFailed as failure:
-        raise exchange.not_run(failure.code, failure.message) from failure
-    call_open = request.open._replace(body=b"".join(parts), last=True)
-    return request._replace(open=call_open, body=None)
-
 
 def _process(upstream: heartbeats.Upstream) -> tuple[str, int, util.Address]:
     """Returns what identifies the process of an upstream."""
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -9,7 +9,7 @@
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.net import forward
-from rattangauge.sidecar import localupstream
+from rattangauge.sidecar import upstreamhttp
 from tests import meshes
 from tests import peers
 
@@ -101,7 +101,7 @@
 
     request = peers.request(body=cut_off())
     with pytest.raises(exchange.CallFailed) as caught:
-        await localupstream._receive_body(request)
+        await upstreamhttp.receive_body(request)
     assert caught.value.outcome == messages.Outcome.NOT_RUN
 
 
@@ -115,7 +115,7 @@
     request = peers.request(body=never())
     request = request._replace(deadline=time.monotonic() + 0.05)
     with anyio.fail_after(2), pytest.raises(exchange.CallFailed) as caught:
-        await localupstream._receive_body(request)
+        await upstreamhttp.receive_body(request)
     assert caught.value.outcome == messages.Outcome.NOT_RUN
 
 
