Heed an upstream that says in its answers that it leaves

What callers would have seen: DRAIN, requests that reach an upstream later than drain-s after its answers said that it leaves. Cause and class: as with the named rate, a word of another process in a response that no reader knew. Change: a response with the notice closes the queue of that process, as a heartbeat that says draining does, whatever later heartbeats say. All changes of the upstream now reach the peers by one way, a task of the exchange.

--- a/rattangauge/membership/heartbeats.py
+++ b/rattangauge/membership/heartbeats.py
@@ -108,3 +108,18 @@
     ):
         return known
     return known._replace(is_leaving=True)
+
+
+def apply_leaving_notice(
+    known: Upstream | None, sender: Heartbeat
+) -> Upstream | None:
+    """Returns the state of the upstream after a response that says it leaves.
+
+    Args:
+        known: State before the response; None if there is no upstream.
+        sender: Heartbeat of the process that sent the response. A notice of a
+            process that has been replaced is ignored.
+    """
+    if known is None or not _are_same_process(known.heartbeat, sender):
+        return known
+    return known._replace(is_leaving=True)
--- a/rattangauge/sidecar/headernames.py
+++ b/rattangauge/sidecar/headernames.py
@@ -18,6 +18,8 @@
         instance: Identity of the upstream that answers a health check.
         named_rate: Calls a second that an upstream in need takes from all
             daemons together, as a decimal number; in each of its responses.
+        is_leaving: Present with the value 1 in each response of an upstream
+            that is about to end and must get no new requests.
         parent_id: Function, not a header. While an upstream runs a request, it
             sends calls of its own. The function takes the identity of such a
             call and returns that of the request; empty if there is none.
@@ -31,4 +33,5 @@
     execution_proof: bytes
     instance: bytes
     named_rate: bytes
+    is_leaving: bytes
     parent_id: Callable[[bytes], bytes]
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -8,6 +8,8 @@
 import itertools
 import time
 
+import anyio
+
 from rattangauge import decisionlog
 from rattangauge import futures
 from rattangauge import settings as settings_module
@@ -64,6 +66,7 @@
         self._call_numbers = itertools.count(1)
         self._running_request_ids: set[bytes] = set()
         self._is_stopping = False
+        self._reported_change = anyio.Event()
 
     @property
     def upstream(self) -> heartbeats.Upstream | None:
@@ -105,44 +108,36 @@
         """Tells whether the upstream is running a request."""
         return request_id in self._running_request_ids
 
-    async def apply_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> bool:
-        """Updates the state of the upstream from its heartbeat.
+    async def wait_reported_change(self) -> None:
+        """Waits until something changes that peers must learn at once."""
+        await self._reported_change.wait()
 
-        Returns:
-            Whether anything has changed that peers must learn at once.
-        """
-        previous = self._upstream
-        current = heartbeats.apply_heartbeat(
-            previous, heartbeat, time.monotonic()
+    def apply_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
+        """Updates the state of the upstream from its heartbeat."""
+        now = time.monotonic()
+        self._set_upstream(
+            heartbeats.apply_heartbeat(self._upstream, heartbeat, now)
         )
-        await self._set_upstream(previous, current)
-        return _reported_properties(previous) != _reported_properties(current)
 
-    async def apply_departure(self, departure: heartbeats.Departure) -> bool:
-        """Updates the state of the upstream after its departure notice.
+    def apply_departure(self, departure: heartbeats.Departure) -> None:
+        """Updates the state of the upstream after its departure notice."""
+        self._set_upstream(
+            heartbeats.apply_departure(self._upstream, departure)
+        )
 
-        Returns:
-            Whether the state has changed.
-        """
+    def _set_upstream(self, current: heartbeats.Upstream | None) -> None:
         previous = self._upstream
-        current = heartbeats.apply_departure(previous, departure)
-        if current is previous or current is None:
-            return False
-        await self._set_upstream(previous, current)
-        return True
-
-    async def _set_upstream(
-        self,
-        previous: heartbeats.Upstream | None,
-        current: heartbeats.Upstream,
-    ) -> None:
+        if current is None or current is previous:
+            return
         self._upstream = current
         heartbeat = current.heartbeat
         if _reported_properties(previous) != _reported_properties(current):
             self._record_change(heartbeat)
+            self._reported_change.set()
+            self._reported_change = anyio.Event()
         is_new = previous is None or _process(previous) != _process(current)
         if is_new:
-            await self._reset_queue(heartbeat)
+            self._reset_queue(heartbeat)
         self._queue.set_slots(heartbeat.slots)
         if current.is_leaving and not self._queue.is_closed:
             self._resume(self._queue.close())
@@ -158,7 +153,7 @@
             )
         )
 
-    async def _reset_queue(self, heartbeat: heartbeats.Heartbeat) -> None:
+    def _reset_queue(self, heartbeat: heartbeats.Heartbeat) -> None:
         """Replaces the queue and the connections for a new upstream process.
 
         The calls that wait for the old process are refused.
@@ -382,6 +377,12 @@
         except TimeoutError as error:
             text = "the deadline passed while the call ran"
             raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
+        if upstreamhttp.is_leaving(self._header_names, response):
+            self._set_upstream(
+                heartbeats.apply_leaving_notice(
+                    self._upstream, upstream.heartbeat
+                )
+            )
         self._follow_named_rate(upstream, response, sent_at)
         if upstreamhttp.is_refusal(self._header_names, response):
             failure = exchange.not_run(
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -191,25 +191,16 @@
     async def _handle_announcement(
         self, request: http_messages.Request
     ) -> http_messages.Response:
-        """Handles a heartbeat of the upstream, or the notice that it ends.
-
-        Peers receive a report at once if the state that they know has changed.
-        """
+        """Handles a heartbeat of the upstream, or the notice that it ends."""
         try:
             announcement = self._read_announcement(request)
         except errors.FindingsError as error:
             loguru.logger.warning("request of the upstream rejected: {}", error)
             return http_messages.Response(400, (), str(error).encode())
         if isinstance(announcement, heartbeats.Heartbeat):
-            has_changed = await self._local_upstream.apply_heartbeat(
-                announcement
-            )
+            self._local_upstream.apply_heartbeat(announcement)
         else:
-            has_changed = await self._local_upstream.apply_departure(
-                announcement
-            )
-        if has_changed:
-            self._peer_exchange.refresh()
+            self._local_upstream.apply_departure(announcement)
         headers = ((b"content-type", b"application/json"),)
         return http_messages.Response(200, headers, b"{}")
 
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -106,8 +106,15 @@
             self._tasks = tasks
             tasks.start_soon(self._follow_directory)
             tasks.start_soon(self._poll_sources)
+            tasks.start_soon(self._report_upstream_changes)
 
-    def refresh(self) -> None:
+    async def _report_upstream_changes(self) -> None:
+        """Reports each change of the local upstream to all peers at once."""
+        while True:
+            await self._local_upstream.wait_reported_change()
+            self._refresh()
+
+    def _refresh(self) -> None:
         """Reports the changed state of the daemon to all peers at once."""
         self._refresh_own_report()
         self._own_changed.set()
@@ -116,7 +123,7 @@
     async def announce_stop(self) -> None:
         """Tells all peers that the daemon accepts no more calls."""
         self._is_stopping = True
-        self.refresh()
+        self._refresh()
 
     def _refresh_own_report(self) -> messages.PeerNews:
         """Updates the daemon's own record and returns it as a report."""
--- a/rattangauge/sidecar/upstreamhttp.py
+++ b/rattangauge/sidecar/upstreamhttp.py
@@ -49,6 +49,18 @@
     return bool(response.header(header_names.not_run))
 
 
+def is_leaving(
+    header_names: headernames.HeaderNames, response: http_messages.Response
+) -> bool:
+    """Tells whether a response says that the upstream is about to end.
+
+    A response of another upstream that has got the address says nothing.
+    """
+    if response.status == WRONG_INSTANCE_STATUS:
+        return False
+    return response.header(header_names.is_leaving) == b"1"
+
+
 def make_answer(
     header_names: headernames.HeaderNames,
     request: exchange.Request,
