Check the range of each number where it is read

What callers would have seen: a request with a deadline of 400 digits or more failed with an unexpected error; a heartbeat with such a time, or a configuration with an infinite one, raised an error that its reader does not expect. Cause: the readers checked the type of a number, not its range, and conversions raise OverflowError or ValueError beyond it.

--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -46,6 +46,8 @@
 MIN_RETRY_S = 0.02
 # Retry-After for callers while the daemon has no configuration or shuts down.
 NOT_READY_RETRY_AFTER_S = 0.5
+# A deadline with more digits is longer than any timeout of a route.
+MAX_DEADLINE_DIGITS = 9
 # Weight of a new measurement in the moving average of a route's answer size.
 ANSWER_SIZE_WEIGHT = 0.1
 # Estimated size of the head of a request or an answer.
@@ -195,7 +197,9 @@
         text = request.header(self._header_names.deadline_ms)
         if text and not text.isdigit():
             return None
-        caller_timeout_ms = int(text) if text else route_timeout_ms
+        caller_timeout_ms = route_timeout_ms
+        if text and len(text.lstrip(b"0")) <= MAX_DEADLINE_DIGITS:
+            caller_timeout_ms = int(text)
         name = target.route.name
         request_id = request.header(self._header_names.request_id)
         # Whether the local upstream makes this call while it runs a request.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -93,6 +93,9 @@
     assert not check.check_objects(objects)
 
 
+LONG_TIMEOUT = meshes.path("/a/", "b", **{"timeout-s": float("inf")})
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -102,6 +105,9 @@
         {"virtual-hosts": [{"host": "a", "paths": [{}]}]},
         {"limits": {}},
         {"virtual-hosts": None},
+        {"version": "r" + "9" * 30},
+        {"virtual-hosts": [{"host": 1, "paths": [meshes.path("/a/", "b")]}]},
+        {"virtual-hosts": [{"host": "a", "paths": [LONG_TIMEOUT]}]},
     ],
 )
 def test_a_configuration_of_another_shape_is_an_error(fields):
@@ -158,6 +164,14 @@
         {"status": {**BODY["status"], "state": "asleep"}},
         {"status": {**BODY["status"], "seq": "3"}},
         {"status": {**BODY["status"], "cold-left-s": "long"}},
+        {"status": {**BODY["status"], "cold-left-s": 10**400}},
+        {"status": {**BODY["status"], "cold-left-s": float("nan")}},
+        {"status": {**BODY["status"], "cold-left-s": float("inf")}},
+        {"status": {**BODY["status"], "cold-left-s": -1}},
+        {"status": {**BODY["status"], "cold-left-s": True}},
+        {"status": {**BODY["status"], "seq": 10**400}},
+        {"born": 10**400},
+        {"address": "10.0.0.9:99999"},
         {"address": "example.com:80"},
         {"address": None},
         {"born": 1.5},
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -42,6 +42,18 @@
         assert 0 < int(request.header(b"deadline-ms")) <= 800
 
 
+@pytest.mark.parametrize("digits", [10, 400, 5000])
+async def test_a_deadline_of_many_digits_is_that_of_the_route(digits):
+    """Guards against a number that no conversion takes."""
+    async with meshes.running() as mesh:
+        await mesh.start_instances(PATHS, "a")
+        for _ in range(2):
+            status, _headers, _body = await mesh.call(
+                "a", "/track/1", deadline_ms="9" * digits
+            )
+            assert status == 200
+
+
 async def test_the_callers_own_caller_service_is_replaced():
     """Guards against callers that pretend to be another service."""
     async with meshes.running() as mesh:
