Take no response without an identity on a reused connection

What callers would have seen: REFUSED or TWICE. Cause: a response without an identity was taken for that of the running request on any connection. On a reused one it may belong to an earlier request. Change: there it leaves the outcome unknown, so that the caller is not told that the request did not run. On a new connection there is only one request. A request without an identity of its own gets a new connection. A refusal with the identity of an earlier request was skipped before and is now tested. Result: the tests for both refusals and for requests without identity fail before and pass after.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -51,6 +51,7 @@
     """One connection to the upstream.
 
     Attributes:
+        is_reused: Whether an earlier request was sent on it.
         reusable_until: Time until which the idle connection may be reused, on
             the clock of ``time.monotonic``, in seconds.
     """
@@ -64,6 +65,7 @@
         """
         self._check_memory = check_memory
         self._has_ended = False
+        self.is_reused = False
         self.reusable_until = 0.0
         self._reader: parsing.ResponseReader | None = None
         self._error: Exception | None = None
@@ -222,7 +224,9 @@
             NoResponseError: No complete response was received.
             TimeoutError: No response was received by the deadline.
         """
-        connection = await self._connect()
+        # Only an identity tells the response of a reused connection.
+        may_reuse = bool(request.header(self._id_header))
+        connection = await self._connect(may_reuse)
         self._active.add(connection)
         response = None
         try:
@@ -236,6 +240,7 @@
         if connection.is_open:
             idle_s = _keep_alive_s(response) - IDLE_MARGIN_S
             connection.reusable_until = time.monotonic() + idle_s
+            connection.is_reused = True
             self._idle.append(connection)
         return response
 
@@ -250,14 +255,17 @@
             text = f"the unfinished responses have {size} bytes"
             raise parsing.MessageError(413, text)
 
-    async def _connect(self) -> _Connection:
+    async def _connect(self, may_reuse: bool) -> _Connection:
         """Returns an idle connection that may be reused, or opens one.
 
+        Args:
+            may_reuse: Whether an idle connection may be returned.
+
         Raises:
             NotSentError: No connection could be opened.
         """
         now = time.monotonic()
-        while self._idle:
+        while may_reuse and self._idle:
             connection = self._idle.pop()
             if connection.is_open and now < connection.reusable_until:
                 return connection
@@ -284,6 +292,10 @@
     ) -> messages.Response:
         """Receives the response to a request and skips those to others.
 
+        A response without an identity is that to the only request of its
+        connection. On a reused connection it may repeat an earlier one, so the
+        outcome of the request is unknown.
+
         Raises:
             NoResponseError: No response to this request was received.
             TimeoutError: No response was received by the deadline.
@@ -292,6 +304,14 @@
         for _ in range(MAX_SKIPPED):
             response = await connection.receive(deadline)
             response_id = response.header(self._id_header)
-            if not expected_id or not response_id or response_id == expected_id:
+            if response_id and expected_id:
+                if response_id == expected_id:
+                    return response
+                continue
+            if not connection.is_reused:
                 return response
+            raise NoResponseError(
+                f"a response with status {response.status} on a reused "
+                "connection does not tell its request"
+            )
         raise NoResponseError("the responses belong to other requests")
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -87,6 +87,68 @@
         assert (await client.exchange(request())).body == b"ok"
 
 
+REFUSAL_LINES = b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\n" + REFUSAL_LINES
+
+
+@pytest.mark.parametrize("repeated", [REFUSAL, b"HTTP/1.1 421 No\r\n\r\n"])
+async def test_a_refusal_that_names_no_request_is_no_answer_to_a_later_one(
+    repeated,
+):
+    """Guards against "not run" for a request that the upstream runs."""
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(OK)
+        await stream.receive()
+        await stream.send(repeated + OK)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, _accepted):
+        await client.exchange(request())
+        with pytest.raises(client_module.NoResponseError):
+            await client.exchange(request())
+
+
+async def test_a_refusal_of_the_request_before_is_skipped():
+    """Guards against an earlier refusal that is written once more."""
+    head = b"HTTP/1.1 503 No\r\nRequest-Id: "
+    refusal = head + b"before\r\n" + REFUSAL_LINES
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(head + b"own\r\n" + REFUSAL_LINES)
+        await stream.receive()
+        await stream.send(refusal + OK)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, accepted):
+        assert (await client.exchange(request())).status == 503
+        assert (await client.exchange(request())).body == b"ok"
+        assert len(accepted) == 1
+
+
+async def test_a_refusal_on_a_new_connection_needs_no_identity():
+    """Guards against a refused request that counts as one that may have run."""
+
+    async def script(stream, _number):
+        await stream.receive()
+        await stream.send(REFUSAL)
+        await anyio.sleep(1)
+
+    async with scripted(script) as (client, _accepted):
+        assert (await client.exchange(request())).status == 503
+
+
+async def test_a_request_without_an_identity_gets_its_own_connection():
+    """Guards against an earlier response that answers such a request."""
+    bare = messages.Request("GET", "/", ((b"host", b"a"),), b"")
+    async with scripted(answer_each) as (client, accepted):
+        for sent in (request(), bare, request(), bare):
+            assert (await client.exchange(sent)).body == b"ok"
+        assert len(accepted) == 3
+
+
 async def test_an_extra_response_ends_the_use_of_the_connection():
     """Guards against a leftover response that answers the next request."""
 
