--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -149,6 +149,30 @@
         assert len(accepted) == 3
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Content-Length: 0\r\n",
+        b"Content-Length: 2\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"",
+    ],
+)
+async def test_a_head_that_is_cut_anywhere_is_no_response(lines):
+    """Guards against a cut head that passes as a whole response."""
+    head = b"HTTP/1.1 200 OK\r\n" + OWN + b"Server-Seal: s\r\n" + lines
+    ends = range(len(head) + 1)
+
+    async def script(stream, number):
+        await stream.receive()
+        await stream.send(head[: ends[number - 1]] or b"H")
+
+    async with scripted(script) as (client, _accepted):
+        for _ in ends:
+            with pytest.raises(client_module.NoResponseError):
+                await client.exchange(request())
+
+
 async def test_an_extra_response_ends_the_use_of_the_connection():
     """Guards against a leftover response that answers the next request."""
 
