--- a/standins/appworker.py
+++ b/standins/appworker.py
@@ -23,9 +23,10 @@
     return messages.Response(status, (identity, SEAL), body)
 
 
-def not_run(status: int = 503) -> messages.Response:
+def not_run(request: messages.Request, status: int = 503) -> messages.Response:
     """Returns the response of an upstream that did not run a request."""
-    return messages.Response(status, ((b"not-executed", b"1"),))
+    identity = (b"request-id", request.header(b"request-id"))
+    return messages.Response(status, (identity, (b"not-executed", b"1")))
 
 
 class AppWorker:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -60,8 +60,8 @@
     async with meshes.running() as mesh:
         await mesh.start_instances([UNSAFE], "a", "b")
 
-        async def refuse(_request):
-            return appworker.not_run()
+        async def refuse(request):
+            return appworker.not_run(request)
 
         mesh.instances["a"].upstream.behaviour = refuse
         statuses = [
@@ -75,8 +75,8 @@
     async with meshes.running() as mesh:
         await mesh.start_instances([TRACK], "a", "b", "c", "d")
 
-        async def refuse(_request):
-            return appworker.not_run()
+        async def refuse(request):
+            return appworker.not_run(request)
 
         for instance in mesh.instances.values():
             instance.upstream.behaviour = refuse
