Split the making of calls from the dispatcher

Change: sidecar/incomingcall.py makes the call of a request, with the estimate of the elapsed time and the split of traffic. No change of behaviour.

--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -1,19 +1,15 @@
 """Routes the requests of callers to instances that can serve them."""
 
-import itertools
 import random as random_module
 import time
-from typing import NamedTuple
 
 from rattangauge import decisionlog
 from rattangauge import settings as settings_module
 from rattangauge.calls import call_queue
-from rattangauge.calls import elapsed_time
 from rattangauge.calls import exchange
 from rattangauge.calls import placement
 from rattangauge.calls import retry
 from rattangauge.calls import retry_after
-from rattangauge.calls import traffic_split
 from rattangauge.config import edition as edition_module
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
@@ -26,6 +22,7 @@
 from rattangauge.sidecar import calllog
 from rattangauge.sidecar import callprogress
 from rattangauge.sidecar import headernames
+from rattangauge.sidecar import incomingcall
 from rattangauge.sidecar import localupstream
 from rattangauge.sidecar import responses
 
@@ -46,8 +43,6 @@
 MIN_RETRY_S = 0.02
 # Retry-After for callers while the daemon has no configuration or shuts down.
 NOT_READY_RETRY_AFTER_S = 0.5
-# A deadline with more digits is longer than any timeout of a route.
-MAX_DEADLINE_DIGITS = 9
 # Weight of a new measurement in the moving average of a route's answer size.
 ANSWER_SIZE_WEIGHT = 0.1
 # Estimated size of the head of a request or an answer.
@@ -56,26 +51,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 
 
-class _Call(NamedTuple):
-    """A request that was matched with a route.
-
-    Attributes:
-        request_id: Identity that the caller gave the request.
-        request: The request as it is sent to an instance.
-        target: Route and policy that apply to the request.
-        received_at: Time at which the request arrived, on the clock of
-            ``time.monotonic``, in seconds.
-        target_at: Time until which an answer meets the target latency, on the
-            same clock.
-    """
-
-    request_id: str
-    request: exchange.Request
-    target: routes.Target
-    received_at: float
-    target_at: float
-
-
 class Dispatcher:
     """Sends each request of a caller to an instance of its service.
 
@@ -102,12 +77,12 @@
         self._route_table: routes.RouteTable | None = None
         self._limits = server_module.Limits()
         self._is_stopping = False
-        self._traffic_split = traffic_split.TrafficSplit()
         self._retry_budget = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
         self._random = random_module.Random()
-        self._call_numbers = itertools.count(1)
         self._mean_answer_bytes: dict[str, float] = {}
-        self._elapsed_time = elapsed_time.ElapsedTimeEstimator()
+        self._calls = incomingcall.CallMaker(
+            header_names, peers.own, local_upstream
+        )
 
     @property
     def version(self) -> int:
@@ -152,7 +127,7 @@
             text = f"no route matches {host} {path}"
             failure = exchange.not_run(errorcodes.CALL_NO_ROUTE, text)
             return self._reject(request, failure, 404)
-        call = self._make_call(request, target)
+        call = self._calls.make(request, target, self.version)
         if call is None:
             text = "the deadline is not a number"
             failure = exchange.not_run(errorcodes.CALL_BAD_HEADER, text)
@@ -185,86 +160,9 @@
         )
         return responses.error(status, failure.message, retry_after_s)
 
-    def _make_call(
-        self, request: http_messages.Request, target: routes.Target
-    ) -> _Call | None:
-        """Makes a call from a request and its route.
-
-        Returns:
-            The call; None if the deadline header is not a number.
-        """
-        route_timeout_ms = target.policy.timeout_ms
-        text = request.header(self._header_names.deadline_ms)
-        if text and not text.isdigit():
-            return None
-        caller_timeout_ms = route_timeout_ms
-        if text and len(text.lstrip(b"0")) <= MAX_DEADLINE_DIGITS:
-            caller_timeout_ms = int(text)
-        name = target.route.name
-        request_id = request.header(self._header_names.request_id)
-        # Whether the local upstream makes this call while it runs a request.
-        inner = self._local_upstream.is_running(
-            self._header_names.parent_id(request_id)
-        )
-        # The target latency counts from the caller's first attempt. A caller
-        # that tries again sets a shorter deadline, which shows the time used.
-        elapsed_ms = 0
-        if not inner:
-            elapsed_ms = self._elapsed_time.elapsed_ms(name, caller_timeout_ms)
-        timeout_ms = min(caller_timeout_ms, route_timeout_ms)
-        target_ms = target.policy.target_latency_ms - elapsed_ms
-        target_at = request.received_at + target_ms / 1000
-        service = target.service.name
-        if target.shares:
-            service = self._traffic_split.choose(name, target.shares)
-        call_open = messages.CallOpen(
-            call_id=f"{next(self._call_numbers)}",
-            service=service,
-            method=request.method,
-            target=request.target,
-            headers=self._headers(request),
-            priority=target.policy.priority,
-            idempotent=target.route.idempotent == "yes",
-            version=self.version,
-            body=request.body,
-            last=True,
-            route=name,
-            returned=request.is_first
-            and self._elapsed_time.has_returned(name, elapsed_ms),
-            inner=inner,
-        )
-        deadline = request.received_at + timeout_ms / 1000
-        return _Call(
-            request_id.decode("latin-1"),
-            exchange.Request(call_open, None, deadline),
-            target,
-            request.received_at,
-            target_at,
-        )
-
-    def _headers(
-        self, request: http_messages.Request
-    ) -> tuple[messages.Header, ...]:
-        """Returns the headers that are passed on to the upstream."""
-        replaced = (
-            self._header_names.caller_service,
-            self._header_names.deadline_ms,
-            self._header_names.expected_instance,
-            b"content-length",
-            b"expect",
-        )
-        headers = [
-            messages.Header(name, value)
-            for name, value in http_messages.end_to_end(request.headers)
-            if name not in replaced
-        ]
-        service = self._peers.own.member.service.encode()
-        headers.append(
-            messages.Header(self._header_names.caller_service, service)
-        )
-        return tuple(headers)
-
-    async def _run_with_retries(self, call: _Call) -> http_messages.Response:
+    async def _run_with_retries(
+        self, call: incomingcall.IncomingCall
+    ) -> http_messages.Response:
         """Sends a call to one instance after another while this is allowed.
 
         It ends with the first answer that is not a server error.
@@ -303,7 +201,7 @@
         return self._failure_response(call, progress)
 
     def _is_refusal_expected(
-        self, call: _Call, peer: peers_module.Peer
+        self, call: incomingcall.IncomingCall, peer: peers_module.Peer
     ) -> bool:
         """Tells whether an instance is expected to refuse a call.
 
@@ -336,7 +234,9 @@
         )
 
     def _may_try_another(
-        self, call: _Call, progress: callprogress.CallProgress
+        self,
+        call: incomingcall.IncomingCall,
+        progress: callprogress.CallProgress,
     ) -> bool:
         """Tells whether a call may be sent to one more instance.
 
@@ -351,7 +251,9 @@
         return self._take_retry(call, progress)
 
     def _take_retry(
-        self, call: _Call, progress: callprogress.CallProgress
+        self,
+        call: incomingcall.IncomingCall,
+        progress: callprogress.CallProgress,
     ) -> bool:
         """Takes a retry from the retry budget.
 
@@ -366,7 +268,7 @@
         return self._retry_budget.take()
 
     def _choose_instance(
-        self, call: _Call, tried: set[str]
+        self, call: incomingcall.IncomingCall, tried: set[str]
     ) -> peers_module.Peer | None:
         """Chooses the instance that a call is sent to next.
 
@@ -404,7 +306,7 @@
         return candidate
 
     async def _attempt(
-        self, call: _Call, peer: peers_module.Peer
+        self, call: incomingcall.IncomingCall, peer: peers_module.Peer
     ) -> messages.AnswerOpen:
         """Sends a call to an instance and returns its answer.
 
@@ -430,11 +332,11 @@
         self._update_answer_size(call.request.open.route, len(answer.body))
         return answer
 
-    def _remaining_s(self, call: _Call) -> float:
+    def _remaining_s(self, call: incomingcall.IncomingCall) -> float:
         return max(0.0, call.request.deadline - time.monotonic())
 
     async def _send(
-        self, call: _Call, peer: peers_module.Peer
+        self, call: incomingcall.IncomingCall, peer: peers_module.Peer
     ) -> messages.AnswerOpen:
         """Runs a call on the local upstream or forwards it to another daemon.
 
@@ -478,7 +380,9 @@
         )
 
     def _failure_response(
-        self, call: _Call, progress: callprogress.CallProgress
+        self,
+        call: incomingcall.IncomingCall,
+        progress: callprogress.CallProgress,
     ) -> http_messages.Response:
         """Logs a call that no upstream answered and returns its response."""
         failure = progress.failure
@@ -499,7 +403,7 @@
         return responses.error(status, str(failure), retry_after_s)
 
     def _status_and_retry_after(
-        self, call: _Call, failure: exchange.CallFailed
+        self, call: incomingcall.IncomingCall, failure: exchange.CallFailed
     ) -> tuple[int, float]:
         """Returns the HTTP status for a failure and the Retry-After time.
 
