Split the candidates of a service from the router

Cause: net/router.py had 510 lines and two jobs: the attempts of a call, and the lookup and cache of the upstreams that may take it. Change: net/candidates.py finds and caches them. No change of behaviour.

--- a/rattangauge/net/router.py
+++ b/rattangauge/net/router.py
@@ -9,9 +9,7 @@
 from collections.abc import Callable
 import functools
 import itertools
-import math
 import random
-from typing import NamedTuple
 
 import anyio
 
@@ -27,6 +25,7 @@
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.membership import members
+from rattangauge.net import candidates as candidates_module
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
 from rattangauge.net import hedging
@@ -37,12 +36,6 @@
     [exchange.Request, routes.Target, exchange.Respond], Awaitable[None]
 ]
 
-# Lifetime of the cached candidates of a service, in seconds.
-CANDIDATE_CACHE_S = 0.1
-
-# States of members that may receive calls.
-_USABLE_STATES = (messages.MemberState.ALIVE, messages.MemberState.SUSPECT)
-
 # Error codes of attempts that open the circuit breaker of the upstream.
 _CONNECTION_CODES = frozenset(
     (
@@ -61,20 +54,6 @@
     return len(opened.body)
 
 
-class _CacheEntry(NamedTuple):
-    """Cached candidates of a service.
-
-    Attributes:
-        found_at: Time of the lookup, in seconds.
-        candidates: Upstreams that were found.
-        group: Measurements of the service's upstreams.
-    """
-
-    found_at: float
-    candidates: list[upstream_selection.Candidate]
-    group: upstream_stats.ServiceStats
-
-
 class _Progress:
     """Tracks over all attempts whether a call can still be retried.
 
@@ -129,7 +108,7 @@
         self._events = events
         self._routes: routes.RouteTable | None = None
         self._keyed_handler: KeyedHandler | None = None
-        self._cache: dict[str, _CacheEntry] = {}
+        self._candidates = candidates_module.CandidateCache(table)
         self._class_learner = route_classifier.RouteClassifier()
         self._budget = retry.RetryBudget()
         self._attempt_numbers = itertools.count(1)
@@ -143,12 +122,7 @@
     def use_edition(self, edition: edition_module.Edition) -> None:
         """Routes the calls that arrive from now on by an edition."""
         self._routes = routes.compile_routes(edition)
-        # An expired entry keeps the measurements of its upstreams.
-        self._cache = {
-            name: entry._replace(found_at=-math.inf)
-            for name, entry in self._cache.items()
-            if name in edition.objects["service"]
-        }
+        self._candidates.expire(edition.objects["service"].keys())
         self._class_learner.keep(set(edition.objects["route"]))
 
     def set_keyed_handler(self, handler: KeyedHandler) -> None:
@@ -261,7 +235,7 @@
         failure: exchange.CallFailed,
     ) -> None:
         """Waits before a retry, unless an untried upstream can take it now."""
-        candidates, _group = self._candidates(target)
+        candidates, _group = self._candidates.find(target)
         if any(c.member.instance not in tried for c in candidates):
             return
         backoff_s = retry.backoff_s(
@@ -316,7 +290,7 @@
         self, target: routes.Target, tried: list[str]
     ) -> upstream_selection.Candidate | None:
         """Returns an untried upstream with room for a hedge, or None."""
-        candidates, group = self._candidates(target)
+        candidates, group = self._candidates.find(target)
         return upstream_selection.choose_for_hedge(
             [c for c in candidates if c.member.instance not in tried],
             anyio.current_time(),
@@ -435,7 +409,7 @@
         Raises:
             exchange.CallFailed: No upstream of the service is known.
         """
-        candidates, group = self._candidates(target)
+        candidates, group = self._candidates.find(target)
         if not candidates:
             text = f"no upstream of {target.service.name} is known"
             raise exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text, 1000)
@@ -447,64 +421,3 @@
             candidates, now, self._random, group.median_s
         )
         return chosen, group
-
-    def _candidates(
-        self, target: routes.Target
-    ) -> tuple[list[upstream_selection.Candidate], upstream_stats.ServiceStats]:
-        """Returns the upstreams to which a call of a target may be sent.
-
-        The result is cached for ``CANDIDATE_CACHE_S``: the member table is
-        large, and a scan for each call would be expensive.
-        """
-        now = anyio.current_time()
-        entry = self._cache.get(target.service.name)
-        if entry is None or now - entry.found_at > CANDIDATE_CACHE_S:
-            group = entry.group if entry else upstream_stats.ServiceStats()
-            found = self._find_candidates(target, group, now)
-            group.keep({candidate.member.instance for candidate in found})
-            entry = _CacheEntry(now, found, group)
-            self._cache[target.service.name] = entry
-        return entry.candidates, entry.group
-
-    def _find_candidates(
-        self,
-        target: routes.Target,
-        group: upstream_stats.ServiceStats,
-        now: float,
-    ) -> list[upstream_selection.Candidate]:
-        """Returns the upstreams of the first pool with a serving upstream.
-
-        If no pool has one, returns the upstreams of all pools, because the
-        reported states may be wrong.
-        """
-        all_found: list[upstream_selection.Candidate] = []
-        for pool in target.pools:
-            local = [
-                member
-                for member in self._members.members.values()
-                if member.service == pool.announces
-                and member.state in _USABLE_STATES
-            ]
-            found = [
-                self._candidate(member, group, now)
-                for member in local
-                + self._members.remote_workers(pool.announces)
-                if not pool.zones or member.zone in pool.zones
-            ]
-            if any(candidate.is_serving for candidate in found):
-                return found
-            all_found += found
-        return all_found
-
-    def _candidate(
-        self,
-        member: messages.Member,
-        group: upstream_stats.ServiceStats,
-        now: float,
-    ) -> upstream_selection.Candidate:
-        return upstream_selection.Candidate(
-            member,
-            group.view(member, now),
-            member.zone == self._members.own.zone,
-            member.upstream == messages.UpstreamState.SERVING,
-        )
