Reject ports and texts that no reader can use

Cause: three heartbeats of another writer were still taken: one whose text holds half of a surrogate pair, one with port 0, and one whose port is written in digits of another script, since str.isdecimal and int accept these.

--- a/rattangauge/util.py
+++ b/rattangauge/util.py
@@ -10,6 +10,8 @@
 
 # A body up to this size is sent in the first message of a call or an answer.
 SMALL_BODY_BYTES = 65_536
+# Largest port number.
+MAX_PORT = 65_535
 # New connections that the kernel queues until a daemon accepts them.
 LISTEN_BACKLOG = 1024
 
@@ -36,13 +38,26 @@
     Address(host='127.0.0.1', port=80)
     """
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdecimal() or int(port) > 65535:
+    is_number = port.isascii() and port.isdigit()
+    if not separator or not is_number or int(port) > MAX_PORT:
         raise ValueError(f"{text!r} is not IP:PORT")
     host = host.removeprefix("[").removesuffix("]")
     ipaddress.ip_address(host)
     return Address(host, int(port))
 
 
+def parse_remote_address(text: str) -> Address:
+    """Parses the ``IP:PORT`` of another process, whose port is not 0.
+
+    Raises:
+        ValueError: The text is not such an address.
+    """
+    address = parse_address(text)
+    if not address.port:
+        raise ValueError(f"{text!r} has port 0, at which nothing can be called")
+    return address
+
+
 def listen(host: str, port: int = 0) -> socket.socket:
     """Opens a non-blocking listening socket; port 0 chooses a free port.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -34,6 +34,8 @@
     "no-zone": '{"mesh": "10.0.0.9:80", "zone": "", "region": "r"}',
     "types": '{"mesh": 1, "zone": [], "region": {}}',
     "null": "null",
+    "port-digits": '{"mesh": "10.0.0.9:\u0663", "zone": "z", "region": "r"}',
+    "half-pair": '{"mesh": "10.0.0.9:80", "zone": "\\ud800", "region": "r"}',
     "brackets": '"]}]}{[\\"]}"',
 }
 
