Take the time for a planned stop from the settings, and the deadline into account

Cause: a daemon took requests for a fixed 2.5 s after the signal to stop, whatever their timeout, and ended after a fixed 5.5 s, though grace-s is 10 on the large deployment. A request that was taken at 2.4 s with a limit of 4.4 s was cut off in the middle of the grace; short requests that came after 2.5 s were refused though they would have ended in time.

Change: calls/shutdown.py decides, without I/O, which calls are still started: all of them until the callers have noticed, later those whose deadline passes before the daemon ends. The template sets shutdown.limit_s to grace-s; the daemon ends half a second before it.

--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -10,6 +10,7 @@
 from rattangauge.calls import placement
 from rattangauge.calls import retry
 from rattangauge.calls import retry_after
+from rattangauge.calls import shutdown as shutdown_module
 from rattangauge.config import edition as edition_module
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
@@ -76,7 +77,7 @@
         self._call_log = calllog.CallLog(log)
         self._route_table: routes.RouteTable | None = None
         self._limits = server_module.Limits()
-        self._is_stopping = False
+        self._shutdown: shutdown_module.Shutdown | None = None
         self._retry_budget = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
         self._random = random_module.Random()
         self._mean_answer_bytes: dict[str, float] = {}
@@ -105,18 +106,16 @@
             idle_s=limits.idle_timeout_ms / 1000,
         )
 
-    def stop(self) -> None:
-        """Refuses all requests that arrive from now on."""
-        self._is_stopping = True
+    def stop(self, shutdown: shutdown_module.Shutdown) -> None:
+        """Refuses the requests that cannot end before the daemon does."""
+        self._shutdown = shutdown
 
     async def handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
         """Returns the response to a request of a caller."""
-        if self._route_table is None or self._is_stopping:
+        if self._route_table is None:
             text = "no configuration is in force yet"
-            if self._is_stopping:
-                text = "the daemon stops"
             failure = exchange.not_run(errorcodes.CALL_NOT_READY, text)
             return self._reject(request, failure, 503, NOT_READY_RETRY_AFTER_S)
         path = request.target.partition("?")[0]
@@ -132,12 +131,24 @@
             text = "the deadline is not a number"
             failure = exchange.not_run(errorcodes.CALL_BAD_HEADER, text)
             return self._reject(request, failure, 400)
+        if not self._may_start(call):
+            text = "the daemon stops before the deadline"
+            failure = exchange.not_run(errorcodes.CALL_NOT_READY, text)
+            return self._reject(request, failure, 503, NOT_READY_RETRY_AFTER_S)
         call_open = call.request.open
         self._call_log.record_start(
             call.request_id, call_open, self._remaining_s(call)
         )
         return await self._run_with_retries(call)
 
+    def _may_start(self, call: incomingcall.IncomingCall) -> bool:
+        """Tells whether a call may start in view of a shutdown."""
+        if self._shutdown is None:
+            return True
+        return shutdown_module.may_start(
+            self._shutdown, time.monotonic(), call.request.deadline
+        )
+
     def _reject(
         self,
         request: http_messages.Request,
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -13,6 +13,7 @@
 from rattangauge import errors
 from rattangauge import settings as settings_module
 from rattangauge import util
+from rattangauge.calls import shutdown as shutdown_module
 from rattangauge.generated import messages
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
@@ -28,10 +29,6 @@
 from rattangauge.sidecar import peerexchange
 from rattangauge.sidecar import stores
 
-# Time for which requests are still served after the signal to stop, while
-# callers switch to other daemons. After it new requests are refused, so that
-# none is cut off at the end.
-DRAIN_S = 2.5
 # Time between two checks whether all requests have ended.
 STOP_CHECK_PERIOD_S = 0.05
 
@@ -143,22 +140,21 @@
     async def _drain(self) -> None:
         """Waits until callers have left and calls have ended.
 
-        Requests are served for ``DRAIN_S``, then refused. The setting
-        ``shutdown.limit_s`` limits the wait.
+        The setting ``shutdown.limit_s`` limits the wait.
         """
+        shutdown = shutdown_module.begin(
+            time.monotonic(), self._settings.shutdown.limit_s
+        )
+        self._dispatcher.stop(shutdown)
         self._local_upstream.stop()
         self._caller_server.close_connections()
         await self._peer_exchange.announce_stop()
-        started_at = time.monotonic()
-        limit_s = self._settings.shutdown.limit_s
-        while (elapsed_s := time.monotonic() - started_at) < limit_s:
-            if elapsed_s >= DRAIN_S:
-                self._dispatcher.stop()
+        while (now := time.monotonic()) < shutdown.end_at:
             is_idle = (
                 not self._caller_server.busy_connections
                 and not self._local_upstream.running
             )
-            if is_idle and elapsed_s >= DRAIN_S:
+            if is_idle and now >= shutdown.notice_until:
                 return
             await anyio.sleep(STOP_CHECK_PERIOD_S)
         loguru.logger.warning(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -306,6 +306,9 @@
         "#limits.link-mbps": "",
         "limits.link-mbps": "3.5",
         "/limits.link-mbps": "",
+        "#bounds.grace-s": "",
+        "bounds.grace-s": "10",
+        "/bounds.grace-s": "",
     }
     return re.sub(
         r"\{\{([^}]*)\}\}",
@@ -320,6 +323,7 @@
     assert settings.instance.zone == "zone-1"
     assert settings.listen.operators == "10.0.0.1:7600"
     assert settings.instance.link_mbps == 3.5
+    assert settings.shutdown.limit_s == 10.0
     assert settings.platform.url == "http://10.0.0.1:80"
 
 
