Let a running call keep the daemon of the shutdown test

Cause: the test's daemon ended as soon as it was idle, which depended on how busy the machine was, and its end is seen as a reset by some callers.

Change: a call of 4.2 s runs through the grace and must be answered; each request without an answer must still be one that no upstream got.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,6 +5,7 @@
 
 from rattangauge.calls import shutdown
 from rattangauge.generated import settings as generated
+from standins import appworker
 from tests import meshes
 
 
@@ -47,15 +48,21 @@
     return mesh.instances["a"]
 
 
+async def work_by_target(request):
+    """Answers like an upstream that needs long for one target."""
+    await anyio.sleep(4.2 if request.target == "/track/slow" else 0.3)
+    return appworker.sealed(request)
+
+
 async def test_a_late_call_is_served_or_refused_but_never_cut_off():
     """Guards against calls that come late in the grace and get no answer."""
     async with meshes.running() as mesh:
         await stopped_mesh(mesh, 5.0)
         stopped_at = anyio.current_time()
-        # A call keeps the daemon from ending early.
+        mesh.instances["b"].upstream.behaviour = work_by_target
+        # A call that runs keeps the daemon from ending early.
         kept = await mesh.connect("a")
-        await kept.send("/track/1", deadline_ms=8000, request_id="k1")
-        await kept.receive()
+        await kept.send("/track/slow", deadline_ms=8000, request_id="k1")
         statuses = {"short": [], "long": []}
         unanswered = []
 
@@ -70,11 +77,12 @@
                         deadline_ms=deadline_ms,
                         request_id=f"{kind}{number}",
                     )
-                except (OSError, anyio.EndOfStream):
+                except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
                     # The daemon has ended.
                     unanswered.append(f"{kind}{number}")
                     return
                 statuses[kind].append((anyio.current_time(), answer[0]))
+                await anyio.sleep(0.02)
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(send_repeatedly, "short", "/order/1", 800)
@@ -83,6 +91,7 @@
         assert set(late_short) == {200}
         late_long = [s for at, s in statuses["long"] if at - stopped_at > 3.0]
         assert late_long and set(late_long) == {503}
+        assert (await kept.receive())[0] == 200
         assert anyio.current_time() - stopped_at < 5.0
         passed_on = {
             request.header(b"request-id").decode()
