Keep the sources of the configuration and the serving daemons between changes

Cause: each daemon worked out some thirty times a second which watchers of its zone it polls, by going through all daemons, and at each call which daemons serve a service. Both grow with the fleet, while the answer rarely changes.

Change: the table of peers has a revision that grows with each change on which such a choice depends; watchers.Sources and PeerTable.serving keep their last result until then.

Result: tests of both against the computation from scratch after each kind of change.

--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -6,6 +6,7 @@
 process, or by one of a later process.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import math
 
@@ -35,6 +36,8 @@
 # of call, and the number of kinds that are kept for each peer.
 HOLD_RATIO_WEIGHT = 0.3
 MAX_CALL_KINDS = 256
+# Services whose serving daemons are kept between two changes.
+MAX_SERVICES = 256
 
 _SERVING = messages.UpstreamState.SERVING
 
@@ -45,14 +48,24 @@
     Times are monotonic times in seconds.
 
     Attributes:
-        member: Its newest member record.
         own_calls: Number of calls that this daemon has sent to it and that have
             not ended.
     """
 
-    def __init__(self, member: messages.Member) -> None:
-        """Creates a peer that has reported no load yet."""
-        self.member = member
+    def __init__(
+        self,
+        member: messages.Member,
+        on_change: Callable[[], None] | None = None,
+    ) -> None:
+        """Creates a peer that has reported no load yet.
+
+        Args:
+            member: Its member record.
+            on_change: Called when the peer may count as another one for the
+                choice of upstreams or of watchers of the store.
+        """
+        self._member = member
+        self._on_change = on_change
         self.own_calls = 0
         self._load = messages.Load()
         self._load_received_at = 0.0
@@ -67,6 +80,22 @@
         # Hold time of each kind of call divided by the mean over all kinds.
         self._hold_ratios: dict[str, float] = {}
 
+    @property
+    def member(self) -> messages.Member:
+        """Its newest member record."""
+        return self._member
+
+    @member.setter
+    def member(self, member: messages.Member) -> None:
+        before = _selection_key(self._member)
+        self._member = member
+        if _selection_key(member) != before:
+            self._notify()
+
+    def _notify(self) -> None:
+        if self._on_change is not None:
+            self._on_change()
+
     @property
     def is_serving(self) -> bool:
         """Whether the daemon is alive and its upstream accepts calls."""
@@ -136,8 +165,11 @@
 
     def record_success(self) -> None:
         """Records that the peer answered, which ends its pause."""
+        had_failed = self._consecutive_failures > 0
         self._consecutive_failures = 0
         self._paused_until = 0.0
+        if had_failed:
+            self._notify()
 
     def record_failure(self, now: float) -> None:
         """Records that the peer was unreachable or its connection was lost."""
@@ -151,6 +183,8 @@
             if self._consecutive_failures > 1
             else now + FAILURE_PAUSE_S
         )
+        if self._consecutive_failures == 1:
+            self._notify()
 
     def record_refusal(self, now: float) -> None:
         """Records that the peer refused a call because its queue was full."""
@@ -201,6 +235,18 @@
         )
 
 
+def _selection_key(member: messages.Member) -> tuple[object, ...]:
+    """Returns the fields on which the choice among peers depends."""
+    return (
+        member.zone,
+        member.service,
+        member.state,
+        member.upstream,
+        member.watches,
+        member.link_kbps,
+    )
+
+
 def _is_newer(known: messages.Member, received: messages.Member) -> bool:
     if received.incarnation != known.incarnation:
         return received.incarnation > known.incarnation
@@ -216,9 +262,23 @@
 
     def __init__(self, own: messages.Member) -> None:
         """Creates a table that contains only this daemon."""
-        self.own = Peer(own)
+        self._revision = 0
+        self._serving: dict[str, list[Peer]] = {}
+        self.own = self._make_peer(own)
         self._peers: dict[str, Peer] = {own.mesh: self.own}
 
+    @property
+    def revision(self) -> int:
+        """Number that grows when a choice among the peers may turn out new."""
+        return self._revision
+
+    def _make_peer(self, member: messages.Member) -> Peer:
+        return Peer(member, self._handle_change)
+
+    def _handle_change(self) -> None:
+        self._revision += 1
+        self._serving.clear()
+
     def __iter__(self) -> Iterator[Peer]:
         """Iterates over all daemons, this one included."""
         return iter(self._peers.values())
@@ -239,7 +299,8 @@
         """Adds a daemon and returns its entry; None if it was known before."""
         if member.mesh in self._peers:
             return None
-        peer = self._peers[member.mesh] = Peer(member)
+        peer = self._peers[member.mesh] = self._make_peer(member)
+        self._handle_change()
         return peer
 
     def update(self, news: messages.PeerNews, now: float) -> bool:
@@ -266,7 +327,8 @@
         if is_outdated and not (is_new and peer.failures):
             return False
         if peer is None or is_new:
-            peer = self._peers[received.mesh] = Peer(received)
+            peer = self._peers[received.mesh] = self._make_peer(received)
+            self._handle_change()
         peer.member = received
         peer.set_watching(received.watches, now)
         peer.update_load(news.load, now)
@@ -274,12 +336,22 @@
 
     def remove(self, address: str) -> None:
         """Removes a daemon from the table."""
-        self._peers.pop(address, None)
+        if self._peers.pop(address, None) is not None:
+            self._handle_change()
 
     def serving(self, service: str) -> list[Peer]:
-        """Returns the daemons whose upstream is serving the service."""
-        return [
-            peer
-            for peer in self._peers.values()
-            if peer.member.service == service and peer.is_serving
-        ]
+        """Returns the daemons whose upstream is serving the service.
+
+        The list belongs to the table and must not be changed.
+        """
+        serving = self._serving.get(service)
+        if serving is None:
+            serving = [
+                peer
+                for peer in self._peers.values()
+                if peer.member.service == service and peer.is_serving
+            ]
+            if len(self._serving) >= MAX_SERVICES:
+                self._serving.clear()
+            self._serving[service] = serving
+        return serving
--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -117,6 +117,7 @@
         """
         self._store = store
         self._peers = peers
+        self._sources = watchers.Sources(peers)
         self._links = links
         self._apply = apply
         self._log = log
@@ -245,7 +246,7 @@
         if not self.version:
             return True
         now = time.monotonic()
-        sources = watchers.sources(self._peers)
+        sources = self._sources.current()
         if not watchers.must_watch(sources, now):
             self._unconfirmed_since = math.inf
         else:
@@ -388,7 +389,7 @@
         daemon's own zone.
         """
         zone = self._peers.own.member.zone
-        sources = watchers.sources(self._peers)
+        sources = self._sources.current()
         newer = [
             peer
             for peer in self._peers.others()
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -89,6 +89,7 @@
         self._settings = settings
         self._store = store
         self._peers = peers
+        self._sources = watchers.Sources(peers)
         self._links = links
         self._local_upstream = local_upstream
         self._config_sync = config_sync
@@ -219,7 +220,7 @@
         polled_at: dict[str, float] = {}
         while True:
             now = time.monotonic()
-            sources = watchers.sources(self._peers)
+            sources = self._sources.current()
             addresses = {peer.member.mesh for peer in sources}
             polled_at = {
                 address: at
--- a/rattangauge/sidecar/watchers.py
+++ b/rattangauge/sidecar/watchers.py
@@ -92,6 +92,23 @@
     return zone_watchers[:SOURCE_COUNT]
 
 
+class Sources:
+    """The result of ``sources``, computed again only when peers change."""
+
+    def __init__(self, peers: peers_module.PeerTable) -> None:
+        """Creates the result for a table of peers."""
+        self._peers = peers
+        self._revision = -1
+        self._sources: list[peers_module.Peer] = []
+
+    def current(self) -> list[peers_module.Peer]:
+        """Returns the watchers that the daemon polls; see ``sources``."""
+        if self._revision != self._peers.revision:
+            self._revision = self._peers.revision
+            self._sources = sources(self._peers)
+        return self._sources
+
+
 def confirmed(
     own_sources: Iterable[peers_module.Peer], now: float
 ) -> list[peers_module.Peer]:
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -1,5 +1,6 @@
 """Choice of the daemons of an availability zone that watch the store."""
 
+from rattangauge.generated import messages
 from rattangauge.membership import peers as peers_module
 from rattangauge.sidecar import watchers
 from tests import builders
@@ -134,3 +135,73 @@
     before[0].record_failure(10.0)
     after = watchers.sources(table)
     assert before[0] not in after
+
+
+def test_kept_sources_follow_each_change_of_the_peers():
+    """Guards against a daemon that polls watchers that have gone."""
+    table = next(
+        table
+        for own in range(1, LARGE_ZONE_SIZE + 1)
+        if watchers.sources(table := peer_table(own, LARGE_ZONE_SIZE))
+    )
+    kept = watchers.Sources(table)
+    assert kept.current() is kept.current()
+
+    def fail_first():
+        kept.current()[0].record_failure(5.0)
+
+    def answer_again():
+        next(peer for peer in table if peer.failures).record_success()
+
+    def leave():
+        peer = kept.current()[1]
+        state = messages.MemberState.LEFT
+        peer.member = peer.member._replace(state=state)
+
+    def hear_the_store():
+        peer = kept.current()[2]
+        peer.member = peer.member._replace(watches=True)
+
+    def restart():
+        member = kept.current()[0].member
+        member = member._replace(
+            incarnation=member.incarnation + 1, zone="zone-2"
+        )
+        table.update(messages.PeerNews(member, messages.Load()), 6.0)
+
+    def remove():
+        table.remove(kept.current()[0].member.mesh)
+
+    def add():
+        table.add(builders.member("new", mesh=address(99), link_kbps=10**6))
+
+    changes = (
+        fail_first,
+        answer_again,
+        leave,
+        hear_the_store,
+        restart,
+        remove,
+        add,
+    )
+    for change in changes:
+        change()
+        assert kept.current() == watchers.sources(table), change.__name__
+
+
+def test_kept_lists_of_serving_daemons_follow_each_change():
+    """Guards against calls to a daemon whose upstream has left."""
+    table = peer_table(1, 3)
+    serving = messages.UpstreamState.SERVING
+    for peer in table:
+        peer.update_load(messages.Load(state=serving), 1.0)
+    service = table.own.member.service
+    before = table.serving(service)
+    assert before and table.serving(service) is before
+    load = messages.Load(state=messages.UpstreamState.DRAINING)
+    before[0].update_load(load, 2.0)
+    assert before[0] not in table.serving(service)
+    before[0].update_load(messages.Load(state=serving), 3.0)
+    assert before[0] in table.serving(service)
+    table.remove(before[-1].member.mesh)
+    assert before[-1] not in table.serving(service)
