Compare the instances of the own zone first, then a sample of the others

Change: the instances of the own zone are compared first, which decides most calls; if none of them answers soon enough, up to 24 instances of the other zones, drawn anew for each call, are compared with them.

--- a/rattangauge/calls/placement.py
+++ b/rattangauge/calls/placement.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import random as random_module
 from typing import NamedTuple
+from typing import TypeVar
 
 # Cost of a call to another zone: the round trip and the transferred bytes.
 ZONE_COST_S = 0.002
@@ -33,6 +34,11 @@
 # Random addition to each cost, so that equal instances share the calls.
 JITTER_SHARE = 0.05
 
+# Instances of other zones that are compared for one call.
+MAX_REMOTE_CANDIDATES = 24
+
+_Item = TypeVar("_Item")
+
 
 class CallRequirements(NamedTuple):
     """The properties of a call that its placement depends on.
@@ -115,6 +121,49 @@
     ]
 
 
+def _usable(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Returns the candidates to which calls have not failed a moment ago."""
+    return [c for c in candidates if not c.should_avoid]
+
+
+def _cheapest(
+    candidates: Sequence[Candidate],
+    demand: CallRequirements,
+    random: random_module.Random,
+) -> Candidate:
+    def cost(candidate: Candidate) -> float:
+        jitter = 1.0 + JITTER_SHARE * random.random()
+        return cost_s(candidate, demand.size) * jitter
+
+    return min(candidates, key=cost)
+
+
+def choose_local(
+    candidates: Sequence[Candidate],
+    demand: CallRequirements,
+    random: random_module.Random,
+) -> Candidate | None:
+    """Returns the instance of the own zone that takes a call.
+
+    Args:
+        candidates: Instances that may take the call; those of other zones are
+            passed over.
+        demand: Size of the call and time left to its target latency.
+        random: Source of random numbers.
+
+    Returns:
+        The instance; None if none is expected to answer soon enough.
+    """
+    share = LOCAL_SHARE + LOCAL_SHARE_PER_BYTE * demand.size
+    limit_s = min(MAX_LOCAL_SHARE, share) * demand.target_left_s
+    local = [
+        c
+        for c in _usable(_fill_unknown_hold(candidates))
+        if c.is_local and expected_latency_s(c) <= limit_s
+    ]
+    return _cheapest(local, demand, random) if local else None
+
+
 def choose(
     candidates: Sequence[Candidate],
     demand: CallRequirements,
@@ -132,18 +181,22 @@
     """
     if not candidates:
         return None
+    local = choose_local(candidates, demand, random)
+    if local is not None:
+        return local
     with_hold_times = _fill_unknown_hold(candidates)
-    usable = [
-        c for c in with_hold_times if not c.should_avoid
-    ] or with_hold_times
-    share = LOCAL_SHARE + LOCAL_SHARE_PER_BYTE * demand.size
-    limit_s = min(MAX_LOCAL_SHARE, share) * demand.target_left_s
-    local = [
-        c for c in usable if c.is_local and expected_latency_s(c) <= limit_s
-    ]
+    usable = _usable(with_hold_times) or with_hold_times
+    return _cheapest(usable, demand, random)
 
-    def cost(candidate: Candidate) -> float:
-        jitter = 1.0 + JITTER_SHARE * random.random()
-        return cost_s(candidate, demand.size) * jitter
 
-    return min(local or usable, key=cost)
+def sample(
+    items: Sequence[_Item], random: random_module.Random
+) -> Sequence[_Item]:
+    """Returns at most ``MAX_REMOTE_CANDIDATES`` of the items, at random.
+
+    In a large fleet a call costs less if it compares a few instances; and when
+    many daemons look for a free slot at once, each of them sees other ones.
+    """
+    if len(items) <= MAX_REMOTE_CANDIDATES:
+        return items
+    return random.sample(items, MAX_REMOTE_CANDIDATES)
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -288,15 +288,20 @@
         """
         call_open = call.request.open
         now = time.monotonic()
-        candidates = [
-            self._candidate(peer, now, call_open.route)
-            for peer in self._peers.serving(call_open.service)
-            if peer.member.mesh not in tried
-        ]
         size = HEAD_BYTES + len(call_open.body)
         size += int(self._mean_answer_bytes.get(call_open.route, HEAD_BYTES))
         demand = placement.CallRequirements(size, call.target_at - now)
-        chosen = placement.choose(candidates, demand, self._random)
+        local, remote = self._untried_peers(call_open.service, tried)
+        candidates = [
+            self._candidate(peer, now, call_open.route) for peer in local
+        ]
+        chosen = placement.choose_local(candidates, demand, self._random)
+        if chosen is None:
+            candidates += [
+                self._candidate(peer, now, call_open.route)
+                for peer in placement.sample(remote, self._random)
+            ]
+            chosen = placement.choose(candidates, demand, self._random)
         peer = self._peers.get(chosen.address) if chosen else None
         if chosen is not None and peer is not None:
             self._call_log.record_placement(
@@ -304,6 +309,22 @@
             )
         return peer
 
+    def _untried_peers(
+        self, service: str, tried: set[str]
+    ) -> tuple[list[peers_module.Peer], list[peers_module.Peer]]:
+        """Returns the instances of a service that a call may still be sent to.
+
+        Returns:
+            Those of the own zone, and those of the other zones.
+        """
+        zone = self._settings.instance.zone
+        local: list[peers_module.Peer] = []
+        remote: list[peers_module.Peer] = []
+        for peer in self._peers.serving(service):
+            if peer.member.mesh not in tried:
+                (local if peer.member.zone == zone else remote).append(peer)
+        return local, remote
+
     def _candidate(
         self, peer: peers_module.Peer, now: float, route: str
     ) -> placement.Candidate:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -73,3 +73,37 @@
     slow = builders.candidate("known", outstanding=9, hold_s=0.2)
     new = builders.candidate("new", hold_s=0.0)
     assert chosen_address([slow, new]) == "new"
+
+
+def test_a_large_fleet_is_compared_in_part():
+    """Guards against a cost of a call that grows with the fleet."""
+    few = list(range(placement.MAX_REMOTE_CANDIDATES))
+    assert list(placement.sample(few, random.Random(1))) == few
+    some = placement.sample(list(range(1000)), random.Random(1))
+    assert len(set(some)) == placement.MAX_REMOTE_CANDIDATES
+
+
+def test_daemons_that_look_for_room_at_once_spread_their_calls():
+    """Guards against a rush of all daemons to the same free instance.
+
+    All of 100 instances are busy but 12, and one of these looks the best.
+    """
+    remote = [
+        builders.candidate(
+            f"i{number}",
+            is_local=False,
+            outstanding=0 if number < 12 else 30,
+            hold_s=0.05 if number else 0.04,
+        )
+        for number in range(100)
+    ]
+    demand = placement.CallRequirements(1000, 0.2)
+    chosen = []
+    for seed in range(100):
+        generator = random.Random(seed)
+        sample = placement.sample(remote, generator)
+        chosen.append(placement.choose(sample, demand, generator))
+    free = [candidate for candidate in chosen if not candidate.outstanding]
+    assert len(free) > 90
+    most = max(free.count(candidate) for candidate in set(free))
+    assert most < 50
