Compile the daemon's modules when it is built

Cause: the build copies the sources, and the platform lets a process write no compiled files, so each start compiled all modules of the daemon again.

Change: the build compiles them, without a check of the source at the start.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,3 +11,7 @@
 rm -rf "$deps/rattangauge" "$deps/rattangauge_platform"
 cp -R rattangauge "$deps/rattangauge"
 cp -R platform "$deps/rattangauge_platform"
+# Daemons on the platform cannot write compiled files, so each start would
+# compile these modules again.
+python3 -m compileall -q --invalidation-mode unchecked-hash \
+    "$deps/rattangauge" "$deps/rattangauge_platform"
