Derive the times of the store's watch from the stable time in the settings

Cause: the length of a watch, the time for which a daemon counts as watching, the time for which a follower believes it and the period of its polls were fixed for a stable-window-s of 3. On the large deployment it is 4, so its watchers called the store more often than the bound needs; on one with 2 a silent connection would have shown too late.

Change: sidecar/watchtimes.py works them out from the new setting platform.stable_s, which the template takes from the bounds, and from the time limit of the store's answers.

--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -16,6 +16,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import errors
+from rattangauge import settings as settings_module
 from rattangauge.config import delta
 from rattangauge.config import edition as edition_module
 from rattangauge.generated import errorcodes
@@ -26,11 +27,8 @@
 from rattangauge.sidecar import editionhistory
 from rattangauge.sidecar import stores
 from rattangauge.sidecar import watchers
+from rattangauge.sidecar import watchtimes
 
-# Longest watch of the store. A connection that went silent is noticed only when
-# the answer to the watch is overdue, and the newest configuration must be in
-# force before the daemon counts as stable again.
-WATCH_S = 1.5
 # Shortest watch, as a share of the longest. The watches of all daemons begin
 # together after a change; they end at different times, so that the first daemon
 # that notices a silent connection can tell the others.
@@ -55,10 +53,6 @@
 # A follower that hears too few watchers begins to watch the store after this
 # time. Until then watchers that have just become its sources can answer.
 UNCONFIRMED_GRACE_S = 0.3
-# A daemon counts as watching the store if the last answer is not older than the
-# duration of a watch plus this time.
-WATCH_GRACE_S = 0.5
-
 # Applies a configuration to the daemon.
 Apply = Callable[[edition_module.Edition], None]
 
@@ -100,6 +94,7 @@
 
     def __init__(
         self,
+        settings: settings_module.Settings,
         store: stores.Store,
         peers: peers_module.PeerTable,
         links: connection_pool.Links,
@@ -109,12 +104,14 @@
         """Creates the state before the first configuration.
 
         Args:
+            settings: Settings of the daemon.
             store: Store with the configuration.
             peers: Peers that may have a newer configuration.
             links: Connections to the peers.
             apply: Applies a configuration to the daemon.
             log: Log of decisions.
         """
+        self._times = watchtimes.from_settings(settings.platform)
         self._store = store
         self._peers = peers
         self._sources = watchers.Sources(peers)
@@ -153,7 +150,7 @@
     def is_watching(self) -> bool:
         """Whether the daemon watches the store and got an answer lately."""
         age_s = time.monotonic() - self._store_answered_at
-        return self.is_store_reachable and age_s < WATCH_S + WATCH_GRACE_S
+        return self.is_store_reachable and age_s < self._times.watching_ttl_s
 
     @property
     def _call_form(self) -> Form:
@@ -204,7 +201,7 @@
         if form is Form.WATCH:
             share = self._random.uniform(MIN_WATCH_SHARE, 1.0)
             result = await self._store.watch_configuration(
-                self._revision, share * WATCH_S
+                self._revision, share * self._times.watch_s
             )
         else:
             result = await self._store.read_configuration()
@@ -247,7 +244,9 @@
             return True
         now = time.monotonic()
         sources = self._sources.current()
-        if not watchers.must_watch(sources, now):
+        if not watchers.must_watch(
+            sources, now, self._times.confirmation_ttl_s
+        ):
             self._unconfirmed_since = math.inf
         else:
             self._unconfirmed_since = min(self._unconfirmed_since, now)
@@ -267,7 +266,9 @@
     ) -> None:
         """Logs that the daemon begins or ceases to watch the store."""
         addresses = " ".join(peer.member.mesh for peer in sources)
-        confirmed = len(watchers.confirmed(sources, now))
+        confirmed = len(
+            watchers.confirmed(sources, now, self._times.confirmation_ttl_s)
+        )
         self._log.record(
             logevents.ConfigRoleChanged(
                 self._is_watcher, self.version, addresses, confirmed
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -85,7 +85,12 @@
             log,
         )
         self._config_sync = configsync.ConfigSync(
-            store, self._peers, self._links, self._dispatcher.apply, log
+            settings,
+            store,
+            self._peers,
+            self._links,
+            self._dispatcher.apply,
+            log,
         )
         self._peer_exchange = peerexchange.PeerExchange(
             settings,
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -24,6 +24,7 @@
 from rattangauge.sidecar import localupstream
 from rattangauge.sidecar import stores
 from rattangauge.sidecar import watchers
+from rattangauge.sidecar import watchtimes
 
 # Time within which a peer must answer a report.
 REPLY_TIMEOUT_S = 0.5
@@ -87,6 +88,8 @@
             log: Log of decisions.
         """
         self._settings = settings
+        times = watchtimes.from_settings(settings.platform)
+        self._poll_period_s = times.poll_period_s
         self._store = store
         self._peers = peers
         self._sources = watchers.Sources(peers)
@@ -229,7 +232,7 @@
             }
             for address in addresses:
                 last_at = polled_at.get(address, -math.inf)
-                if now - last_at >= watchers.SOURCE_POLL_PERIOD_S:
+                if now - last_at >= self._poll_period_s:
                     polled_at[address] = now
                     self._start_poll(address)
             await anyio.sleep(SOURCE_CHECK_PERIOD_S)
--- a/rattangauge/sidecar/watchers.py
+++ b/rattangauge/sidecar/watchers.py
@@ -23,10 +23,6 @@
 # that they watch the store.
 SOURCE_COUNT = 3
 MIN_CONFIRMED = 2
-# Time between two polls of a watcher by a follower.
-SOURCE_POLL_PERIOD_S = 0.5
-# A confirmation of a watcher counts for this time.
-CONFIRMATION_TTL_S = 1.2
 
 
 def _hash(*names: str) -> int:
@@ -110,26 +106,26 @@
 
 
 def confirmed(
-    own_sources: Iterable[peers_module.Peer], now: float
+    own_sources: Iterable[peers_module.Peer], now: float, ttl_s: float
 ) -> list[peers_module.Peer]:
     """Returns the polled watchers that lately said that they hear the store.
 
     Args:
         own_sources: The watchers that the daemon polls.
         now: Time on the clock of ``time.monotonic``, in seconds.
+        ttl_s: Time for which what a watcher said counts, in seconds.
     """
-    return [
-        peer
-        for peer in own_sources
-        if peer.is_watching(now, CONFIRMATION_TTL_S)
-    ]
+    return [peer for peer in own_sources if peer.is_watching(now, ttl_s)]
 
 
-def must_watch(own_sources: Iterable[peers_module.Peer], now: float) -> bool:
+def must_watch(
+    own_sources: Iterable[peers_module.Peer], now: float, ttl_s: float
+) -> bool:
     """Tells whether a daemon must watch the store itself.
 
     Args:
         own_sources: The watchers that the daemon polls.
         now: Time on the clock of ``time.monotonic``, in seconds.
+        ttl_s: Time for which what a watcher said counts, in seconds.
     """
-    return len(confirmed(own_sources, now)) < MIN_CONFIRMED
+    return len(confirmed(own_sources, now, ttl_s)) < MIN_CONFIRMED
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -11,6 +11,7 @@
 from rattangauge.sidecar import stores
 from rattangauge.sidecar import watchers
 from tests import builders
+from tests import meshes
 
 # Longest time from the acknowledgement of a change by the store until it is in
 # force on an instance, in seconds (config-apply-s).
@@ -68,7 +69,8 @@
 def config_sync(store, peers, apply=lambda edition: None):
     """Returns the configuration of a daemon that has no connections."""
     log = decisionlog.DecisionLog("own", "zone-1", len)
-    return configsync.ConfigSync(store, peers, None, apply, log)
+    settings = meshes.daemon_settings("own", "skladby", "zone-1", "127.0.0.1:1")
+    return configsync.ConfigSync(settings, store, peers, None, apply, log)
 
 
 def own_table(*versions):
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -5,9 +5,9 @@
 
 from rattangauge import errors
 from rattangauge.generated import errorcodes
-from rattangauge.sidecar import configsync
 from rattangauge.sidecar import peerexchange
 from rattangauge.sidecar import watchers
+from rattangauge.sidecar import watchtimes
 from tests import meshes
 
 TRACK = meshes.path("/track/", "skladby")
@@ -17,6 +17,9 @@
 # Longest time from the acknowledgement of a change by the store until it is in
 # force on each instance that can reach the store, in seconds (config-apply-s).
 MAX_APPLY_S = 2.5
+TIMES = watchtimes.from_settings(
+    meshes.daemon_settings("a", "skladby", "zone-1", "127.0.0.1:1").platform
+)
 
 
 @pytest.fixture
@@ -47,7 +50,7 @@
         # Each daemon that watches calls the store at least once in this time,
         # and at most twice.
         before = len(mesh.store.calls)
-        await anyio.sleep(configsync.WATCH_S + 0.2)
+        await anyio.sleep(TIMES.watch_s + 0.2)
         watches = [c for c in mesh.store.calls[before:] if "watch=" in c]
         return len(watches) <= 2 * watchers.MIN_WATCHERS
 
@@ -110,7 +113,7 @@
             monkeypatch.setattr(store, "read_configuration", refuse)
             monkeypatch.setattr(store, "watch_configuration", refuse)
         # Watches that began before the refusal still deliver changes.
-        await anyio.sleep(configsync.WATCH_S)
+        await anyio.sleep(TIMES.watch_s)
         mesh.publish([TRACK, NEW])
         await wait_version(mesh, followers, 2)
 
@@ -130,7 +133,7 @@
         for name in lost:
             mesh.instances.pop(name).kill()
         # Longer than a confirmation counts.
-        await anyio.sleep(2 * watchers.CONFIRMATION_TTL_S)
+        await anyio.sleep(2 * TIMES.confirmation_ttl_s)
         promoted = roles(mesh)[0] - watching
         began = {
             name
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -309,6 +309,9 @@
         "#bounds.grace-s": "",
         "bounds.grace-s": "10",
         "/bounds.grace-s": "",
+        "#bounds.stable-window-s": "",
+        "bounds.stable-window-s": "4",
+        "/bounds.stable-window-s": "",
     }
     return re.sub(
         r"\{\{([^}]*)\}\}",
@@ -324,6 +327,7 @@
     assert settings.listen.operators == "10.0.0.1:7600"
     assert settings.instance.link_mbps == 3.5
     assert settings.shutdown.limit_s == 10.0
+    assert settings.platform.stable_s == 4.0
     assert settings.platform.url == "http://10.0.0.1:80"
 
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -79,7 +79,13 @@
     """Returns the configuration of a daemon that knows no other one."""
     peers = peers_module.PeerTable(builders.member("own"))
     log = decisionlog.DecisionLog("own", "zone-1", len)
-    return configsync.ConfigSync(store, peers, None, lambda edition: None, log)
+    settings = meshes.daemon_settings("own", "skladby", "zone-1", "127.0.0.1:1")
+    settings = settings._replace(
+        platform=settings.platform._replace(timeout_s=TIMEOUT_S)
+    )
+    return configsync.ConfigSync(
+        settings, store, peers, None, lambda edition: None, log
+    )
 
 
 async def wait_version(sync, version):
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -6,6 +6,8 @@
 from tests import builders
 
 LARGE_ZONE_SIZE = 24
+# Time for which what a watcher said counts.
+TTL_S = 1.2
 
 
 def address(number):
@@ -38,7 +40,7 @@
     """Guards against a small zone that depends on one daemon's link."""
     for own in range(1, watchers.MAX_DAEMONS_WITHOUT_FOLLOWERS + 1):
         table = peer_table(own, watchers.MAX_DAEMONS_WITHOUT_FOLLOWERS)
-        assert watchers.must_watch(watchers.sources(table), 0.0)
+        assert watchers.must_watch(watchers.sources(table), 0.0, TTL_S)
 
 
 def test_a_few_daemons_of_a_large_zone_watch_and_all_agree_on_them():
@@ -49,7 +51,7 @@
         table = peer_table(own, LARGE_ZONE_SIZE)
         sources = watchers.sources(table)
         confirm_all(sources, 10.0)
-        if watchers.must_watch(sources, 10.0):
+        if watchers.must_watch(sources, 10.0, TTL_S):
             watching.add(address(own))
         polled |= addresses(sources)
     assert len(watching) == watchers.MIN_WATCHERS
@@ -97,14 +99,14 @@
         if watchers.sources(table := peer_table(own, LARGE_ZONE_SIZE))
     )
     sources = watchers.sources(table)
-    assert watchers.must_watch(sources, 10.0)
+    assert watchers.must_watch(sources, 10.0, TTL_S)
     confirm_all(sources, 10.0)
-    assert not watchers.must_watch(sources, 10.0)
-    assert watchers.must_watch(sources, 10.1 + watchers.CONFIRMATION_TTL_S)
+    assert not watchers.must_watch(sources, 10.0, TTL_S)
+    assert watchers.must_watch(sources, 10.1 + TTL_S, TTL_S)
     confirm_all(sources, 20.0)
     for peer in sources[: watchers.MIN_CONFIRMED]:
         peer.set_watching(False, 20.1)
-    assert watchers.must_watch(sources, 20.1)
+    assert watchers.must_watch(sources, 20.1, TTL_S)
 
 
 def test_watchers_that_hear_the_store_are_polled_first():
