Wait for a paused daemon with calls that must not be repeated

What callers would see: a non-idempotent call fails with 502, and its running work is cut off, though the daemon beside the upstream, or that of the caller, only stood still for a second or two.

Cause: a connection whose ping is not answered within silence_s was closed with all its calls. That is right for calls that can be repeated elsewhere; the others have nowhere to go, and the closed connection cancelled their work.

Change: a silent connection takes no new call and ends those that may be repeated; the others wait on it until their deadline, at most four times silence_s. Both ends do so. An upload whose body was not sent completely has not run and still goes elsewhere at once.

--- a/rattangauge/net/connection_pool.py
+++ b/rattangauge/net/connection_pool.py
@@ -116,11 +116,11 @@
         """
         key = (address, purpose)
         connection = self._connections.get(key)
-        if connection is not None and connection.is_open:
+        if connection is not None and connection.is_usable:
             return connection
         async with self._locks.setdefault(key, anyio.Lock()):
             connection = self._connections.get(key)
-            if connection is None or not connection.is_open:
+            if connection is None or not connection.is_usable:
                 connection = await self._connect(address)
                 self._connections[key] = connection
         return connection
@@ -164,7 +164,7 @@
         connection = None
         while idle_connections and connection is None:
             candidate = idle_connections.pop()
-            connection = candidate if candidate.is_open else None
+            connection = candidate if candidate.is_usable else None
         if connection is None:
             connection = await self._connect(address)
         stream = connection.open_stream()
@@ -172,7 +172,7 @@
             yield stream
         finally:
             stream.discard()
-            if connection.is_open:
+            if connection.is_usable:
                 idle_connections.append(connection)
 
     async def request(
@@ -191,7 +191,7 @@
         deadline = time.monotonic() + timeout_s
         try:
             connection = self._connections.get((address, purpose))
-            if connection is None or not connection.is_open:
+            if connection is None or not connection.is_usable:
                 with anyio.fail_after(timeout_s):
                     connection = await self.shared(address, purpose)
             return await _request_on_stream(connection, message, deadline)
--- a/rattangauge/net/streams.py
+++ b/rattangauge/net/streams.py
@@ -69,6 +69,24 @@
         self._unread_bytes = 0
         self._consumed_bytes = 0
         self._on_interrupt: Callable[[], object] | None = None
+        self._may_repeat = True
+        self._is_patient = False
+
+    @property
+    def is_patient(self) -> bool:
+        """Whether the stream outlasts a short silence of its connection.
+
+        This is so for a call that was sent completely and must not be repeated:
+        its peer may only be paused, and no one else can give the answer.
+        """
+        return self._is_patient
+
+    def update_patience(self, message: messages.Message) -> None:
+        """Takes note of a message of a call that was sent or received."""
+        if isinstance(message, messages.CallOpen):
+            self._may_repeat = message.idempotent
+        if isinstance(message, messages.CallOpen | messages.CallData):
+            self._is_patient = message.last and not self._may_repeat
 
     @property
     def is_sent(self) -> bool:
