One place for the signals and the own record of both daemons

Cause: rattangauged and the daemon on the platform each had their own handling of signals and their own record for the others, alike but for a field or two: a first step towards one way of running a daemon.

Change: process_signals.handle and membership.ownmember.make, used by both.

--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -1,6 +1,5 @@
 """Creates the components of one daemon and runs them."""
 
-import signal
 from typing import Any
 
 import anyio
@@ -8,10 +7,11 @@
 
 from rattangauge import events as events_module
 from rattangauge import log
+from rattangauge import process_signals
 from rattangauge import settings as settings_module
-from rattangauge import util
 from rattangauge.generated import messages
 from rattangauge.membership import members
+from rattangauge.membership import ownmember
 from rattangauge.net import claims as claims_module
 from rattangauge.net import config_distribution
 from rattangauge.net import connection_pool
@@ -42,13 +42,8 @@
 
 
 def _own_member(settings: settings_module.Settings) -> messages.Member:
-    return messages.Member(
-        instance=settings.instance.name,
-        zone=settings.instance.zone,
-        region=settings.instance.region,
-        mesh=settings.listen.advertise or settings.listen.mesh,
-        operators=settings.listen.operators,
-        incarnation=util.now_ms(),
+    return ownmember.make(settings)._replace(
+        operators=settings.listen.operators
     )
 
 
@@ -252,13 +247,6 @@
         return operator_api.json_reply({"accepted": True})
 
 
-async def _stop_on_signal(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            log.logger.info("shutting down on {}", signal.Signals(number).name)
-            node.stop()
-
-
 async def run(settings: settings_module.Settings) -> None:
     """Runs a daemon until SIGTERM or SIGINT ends it gracefully."""
     client = object_store.open_client(
@@ -266,6 +254,6 @@
     )
     async with client, anyio.create_task_group() as tasks:
         node = Node(settings, object_store.HttpStore(client), tasks)
-        tasks.start_soon(_stop_on_signal, node)
+        tasks.start_soon(process_signals.handle, node.stop)
         await node.run()
         tasks.cancel_scope.cancel()
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -1,7 +1,6 @@
 """Creates and runs the daemon of one instance."""
 
 from collections.abc import Callable
-import signal
 import time
 
 import anyio
@@ -11,6 +10,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import errors
+from rattangauge import process_signals
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.calls import shutdown as shutdown_module
@@ -18,6 +18,7 @@
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
 from rattangauge.membership import heartbeats
+from rattangauge.membership import ownmember
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
@@ -217,13 +218,8 @@
 
 def _own_member(settings: settings_module.Settings) -> messages.Member:
     """Returns the daemon's own entry in the peer table."""
-    return messages.Member(
-        instance=settings.instance.name,
-        zone=settings.instance.zone,
-        region=settings.instance.region,
-        mesh=settings.listen.advertise or settings.listen.mesh,
+    return ownmember.make(settings)._replace(
         service=settings.instance.service,
-        incarnation=util.now_ms(),
         link_kbps=round(settings.instance.link_mbps * 1000),
     )
 
@@ -238,21 +234,6 @@
     tasks.start_soon(server.serve, listener)
 
 
-async def _handle_signals(node: Node, reload: Reload) -> None:
-    """Reloads the settings at SIGHUP and stops the daemon at other signals."""
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                reload()
-                continue
-            loguru.logger.info(
-                "received {}, shutting down", signal.Signals(number).name
-            )
-            node.stop()
-
-
 async def run(
     settings: settings_module.Settings,
     header_names: headernames.HeaderNames,
@@ -277,7 +258,7 @@
         node = Node(
             settings, header_names, store, read_announcement, log, tasks
         )
-        tasks.start_soon(_handle_signals, node, reload)
+        tasks.start_soon(process_signals.handle, node.stop, reload)
         await node.run()
         tasks.cancel_scope.cancel()
     log.flush()
