Open one connection between two daemons that learn of each other

Cause: a daemon that got the first report of another one answered with its own record and at once called the other one back over a connection of its own, which told it nothing new.

Change: the first report to a peer that has already reported is due a period later, or at the next change of the own state; in a fleet of more than 30 the first reports are spread over half a second, so that of two daemons that find each other in the directory one is called first. As a reply may be lost, it is whole during the first 5 s in which the peer's process is known.

--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -50,6 +50,7 @@
     Attributes:
         own_calls: Number of calls that this daemon has sent to it and that have
             not ended.
+        known_since: Time of the first report of its present process.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self._member = member
         self._on_change = on_change
         self.own_calls = 0
+        self.known_since = -math.inf
         self._load = messages.Load()
         self._load_received_at = 0.0
         self._own_calls_at_load = 0
@@ -96,6 +98,11 @@
         if self._on_change is not None:
             self._on_change()
 
+    @property
+    def has_reported(self) -> bool:
+        """Whether the daemon has told its record itself."""
+        return self._member.incarnation > 0
+
     @property
     def is_serving(self) -> bool:
         """Whether the daemon is alive and its upstream accepts calls."""
@@ -328,6 +335,7 @@
             return False
         if peer is None or is_new:
             peer = self._peers[received.mesh] = self._make_peer(received)
+            peer.known_since = now
             self._handle_change()
         peer.member = received
         peer.set_watching(received.watches, now)
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -45,6 +45,12 @@
 # failure in a row, up to the second value.
 RETRY_S = 0.3
 MAX_RETRY_S = 1.0
+# Time over which a daemon of a fleet with more than the second value of daemons
+# spreads its first reports.
+FIRST_EXCHANGE_SPREAD_S = 0.5
+MAX_DAEMONS_WITHOUT_SPREAD = 30
+# The reply to a report is whole while the peer has been known for less.
+FULL_REPLY_S = 5.0
 # A peer that has been unreachable for this time is removed. If the directory
 # still lists it, it is added again.
 REMOVE_AFTER_S = 60.0
@@ -176,13 +182,16 @@
     ) -> None:
         """Handles the report of a peer.
 
-        If the peer or its present process was unknown, the reply is the
-        daemon's own report, else an acknowledgement with the version of the
+        If the peer's present process has been known only for a short time, the
+        reply is the daemon's own report, since an earlier reply may have been
+        lost; else it is an acknowledgement with the version of the
         configuration.
         """
-        is_new = self._peers.update(report, time.monotonic())
+        now = time.monotonic()
+        self._peers.update(report, now)
+        peer = self._peers.get(report.member.mesh)
         self._start_exchange(report.member.mesh)
-        if is_new:
+        if peer is not None and now - peer.known_since < FULL_REPLY_S:
             await stream.send(self._refresh_own_report())
         else:
             version = self._config_sync.version
@@ -196,11 +205,21 @@
         if address == self._peers.own.member.mesh:
             return
         self._exchanging.add(address)
-        self._tasks.start_soon(self._exchange_repeatedly, address)
+        self._tasks.start_soon(
+            self._exchange_repeatedly, address, self._own_changed
+        )
+
+    async def _exchange_repeatedly(
+        self, address: str, own_changed: anyio.Event
+    ) -> None:
+        """Reports to one peer until it is removed from the table.
 
-    async def _exchange_repeatedly(self, address: str) -> None:
-        """Reports to one peer until it is removed from the table."""
+        Args:
+            address: Mesh address of the peer.
+            own_changed: Event of the next change of the own state.
+        """
         reached_at = time.monotonic()
+        await self._wait_for_first_exchange(address, own_changed)
         while True:
             peer = self._peers.get(address)
             if peer is None:
@@ -222,6 +241,26 @@
         self._peers.remove(address)
         loguru.logger.info("removed peer {} from the peer table", address)
 
+    async def _wait_for_first_exchange(
+        self, address: str, own_changed: anyio.Event
+    ) -> None:
+        """Waits until a peer must be sent the first report.
+
+        A peer that has reported got this daemon's report in reply, so it is due
+        a period later, or at the next change. In a large fleet the others are
+        called at different times: of two daemons that learn of each other from
+        the directory, one is then called by the other and opens no connection.
+        """
+        spread_s = FIRST_EXCHANGE_SPREAD_S
+        if len(self._peers) <= MAX_DAEMONS_WITHOUT_SPREAD:
+            spread_s = 0.0
+        with anyio.move_on_after(spread_s * self._random.random()):
+            await own_changed.wait()
+        peer = self._peers.get(address)
+        if peer is not None and peer.has_reported:
+            with anyio.move_on_after(self._period_s(peer)):
+                await own_changed.wait()
+
     def _period_s(self, peer: peers_module.Peer) -> float:
         """Returns the time to the next exchange with a reachable peer."""
         period_s = exchange_period_s(
