Add a review case: an unreadable entry ends every daemon

Cause: the directory takes an IPv6 address with any text behind its %, and the connection to it raises an error that no task of the daemon catches. Change: review/1 with a script.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Followers reject a configuration that the store accepted (CONFIG)."""
+"""A ping of another writer names a service that is named nowhere (UNASKED)."""
 
 import asyncio
 import pathlib
@@ -11,60 +11,61 @@
 
 INQUIRY = "auskunft"
 BOOKING = "buchung"
-MACHINES = 10
-# Time for which requests are sent after the change must be in force.
-WATCHED_S = 20.0
+# A service that neither a configuration nor a settings file names.
+UNNAMED = "archiv-alt"
+REQUESTS = 40
 
 
 async def case(fleet: fleet_module.Fleet) -> bool:
-    """Returns whether each request was run as the new version says."""
-    services = [INQUIRY, BOOKING]
-    routes = [fleet_module.route("holding", INQUIRY)]
-    fleet.store.put(
-        "config", "main", fleet_module.configuration(1, routes, services)
-    )
-    for number in range(MACHINES):
-        fleet.add_machine(f"side-a-{number + 1}", services[number % 2])
-    await fleet.start_machines("/holding/1")
-    added = "share_transfer" if fleet_module.IS_TROUBLED else "share-transfer"
+    """Returns whether each run had the service of the caller's machine."""
     routes = [
-        fleet_module.route("holding", BOOKING),
-        fleet_module.route(added, BOOKING, kind="unsafe"),
+        fleet_module.route("holding", INQUIRY),
+        fleet_module.route("transfer", BOOKING, kind="unsafe"),
     ]
+    services = [INQUIRY, BOOKING]
     fleet.store.put(
-        "config", "main", fleet_module.configuration(2, routes, services)
+        "config", "main", fleet_module.configuration(1, routes, services)
     )
-    acked_at = time.monotonic()
-    fleet.log(f"r2 is acked: holding moves to {BOOKING}, {added} is added")
-    await asyncio.sleep(fleet_module.CONFIG_APPLY_S + 0.1)
-    outdated: set[str] = set()
-    while time.monotonic() < acked_at + WATCHED_S:
-        for machine in fleet.machines:
-            if await is_outdated(fleet, machine, acked_at):
-                outdated.add(machine.name)
-        await asyncio.sleep(0.5)
-    fleet.log(f"machines with the old version: {sorted(outdated)}")
-    return not outdated
+    entry = fleet.add_machine("side-a-1", INQUIRY)
+    other = fleet.add_machine("side-a-2", BOOKING)
+    await fleet.start_machines("/transfer/1")
+    other.worker.ran.clear()
+    if fleet_module.IS_TROUBLED:
+        await post_foreign_ping(fleet, entry)
+    for _ in range(REQUESTS):
+        request_id, status = await entry.request("/transfer/2", "POST", b"x")
+        fleet.log(
+            f"{request_id} sent at {entry.name}, the machine of {INQUIRY}: "
+            f"{status}"
+        )
+        await asyncio.sleep(0.1)
+    wrong = 0
+    for _at, request_id, caller in other.worker.ran:
+        is_wrong = caller != INQUIRY
+        wrong += is_wrong
+        verdict = "WRONG" if is_wrong else "right"
+        fleet.log(f"{request_id} ran with Caller-Service {caller}: {verdict}")
+    fleet.log(f"{wrong} of {len(other.worker.ran)} runs have another service")
+    _request_id, status = await entry.request("/holding/3")
+    fleet.log(f"a request to the service of {entry.name} itself: {status}")
+    if not other.worker.ran:
+        raise fleet_module.CannotRunError("nothing ran")
+    return not wrong
 
 
-async def is_outdated(
-    fleet: fleet_module.Fleet, machine: fleet_module.Machine, acked_at: float
-) -> bool:
-    """Sends a request; tells whether the service of the old version ran it."""
-    sent_s = time.monotonic() - acked_at
-    request_id, status = await machine.request("/holding/2")
-    services = [
-        other.service
-        for other in fleet.machines
-        for _at, ran_id, _caller in other.worker.ran
-        if ran_id == request_id
-    ]
-    is_old = INQUIRY in services
+async def post_foreign_ping(
+    fleet: fleet_module.Fleet, machine: fleet_module.Machine
+) -> None:
+    """Sends one ping of another writer to the control address."""
+    ping = machine.worker.ping()
+    ping["info"] = {**ping["info"], "service": UNNAMED}
+    ping["address"] = f"{machine.host}:{fleet.free_port(machine.host)}"
+    ping["born"] = int(time.time() * 1000)
+    status = await machine.post_ping("i-02d9e6b4", ping)
     fleet.log(
-        f"{request_id} sent at {machine.name} {sent_s:.2f} s after the ack: "
-        f"{status}, run by {services}{' OLD' if is_old else ''}"
+        f"a ping of another writer at {machine.name}, service {UNNAMED}: "
+        f"{status}"
     )
-    return is_old
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A worker leaves while uploads with a slot wait for their bodies (DRAIN)."""
+"""Followers reject a configuration that the store accepted (CONFIG)."""
 
 import asyncio
 import pathlib
@@ -8,74 +8,63 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from common import fleet as fleet_module
-from common import link as link_module
 
 INQUIRY = "auskunft"
-ARCHIVE = "akten"
-# Link of a machine, longest body, time limit and bound of the site.
-LINK_MBPS = 7.0
-BODY = b"m" * 360_000
-TIMEOUT_MS = 12_000
-DRAIN_S = 2.5
-# Fewer than the slots of the worker.
-UPLOADS = 16
-UPLOAD_GAP_S = 0.1
+BOOKING = "buchung"
+MACHINES = 10
+# Time for which requests are sent after the change must be in force.
+WATCHED_S = 20.0
 
 
 async def case(fleet: fleet_module.Fleet) -> bool:
-    """Returns whether no request reached the worker after ``drain-s``."""
-    upload = {"timeout-s": TIMEOUT_MS / 1000, "target-latency-s": 2.0}
+    """Returns whether each request was run as the new version says."""
+    services = [INQUIRY, BOOKING]
+    routes = [fleet_module.route("holding", INQUIRY)]
+    fleet.store.put(
+        "config", "main", fleet_module.configuration(1, routes, services)
+    )
+    for number in range(MACHINES):
+        fleet.add_machine(f"side-a-{number + 1}", services[number % 2])
+    await fleet.start_machines("/holding/1")
+    added = "share_transfer" if fleet_module.IS_TROUBLED else "share-transfer"
     routes = [
-        fleet_module.route("holding", INQUIRY),
-        fleet_module.route("minutes", ARCHIVE, kind="upload", **upload),
+        fleet_module.route("holding", BOOKING),
+        fleet_module.route(added, BOOKING, kind="unsafe"),
     ]
     fleet.store.put(
-        "config",
-        "main",
-        fleet_module.configuration(1, routes, [INQUIRY, ARCHIVE]),
+        "config", "main", fleet_module.configuration(2, routes, services)
     )
-    entry = fleet.add_machine("side-a-1", INQUIRY)
-    archive = fleet.add_machine("side-a-2", ARCHIVE)
-    await add_link(fleet, archive)
-    await fleet.start_machines("/holding/1")
-    worker = archive.worker
-    uploads = []
-    for _ in range(UPLOADS):
-        request = entry.request("/minutes/1", "POST", BODY, TIMEOUT_MS)
-        uploads.append(asyncio.create_task(request))
-        await asyncio.sleep(UPLOAD_GAP_S)
-    fleet.log(f"{UPLOADS} uploads were sent at {entry.name}")
     acked_at = time.monotonic()
-    if fleet_module.IS_TROUBLED:
-        archive.stop_pings()
-        worker.state = "draining"
-        status = await archive.post_ping(worker.instance, worker.ping())
-        acked_at = time.monotonic()
-        fleet.log(f"{worker.instance} says that it drains: {status}")
-    for upload_task in uploads:
-        request_id, status = await upload_task
-        fleet.log(f"upload {request_id} is answered {status}")
-    late = 0
-    for at, request_id, _caller in worker.ran:
-        after_s = at - acked_at
-        is_late = fleet_module.IS_TROUBLED and after_s > DRAIN_S
-        late += is_late
-        verdict = " LATE" if is_late else ""
-        fleet.log(f"{request_id} reached the worker {after_s:.2f} s{verdict}")
-    fleet.log(f"{late} uploads reached the worker after drain-s")
-    if len(worker.ran) < UPLOADS / 2:
-        raise fleet_module.CannotRunError("too few uploads ran")
-    return not late
+    fleet.log(f"r2 is acked: holding moves to {BOOKING}, {added} is added")
+    await asyncio.sleep(fleet_module.CONFIG_APPLY_S + 0.1)
+    outdated: set[str] = set()
+    while time.monotonic() < acked_at + WATCHED_S:
+        for machine in fleet.machines:
+            if await is_outdated(fleet, machine, acked_at):
+                outdated.add(machine.name)
+        await asyncio.sleep(0.5)
+    fleet.log(f"machines with the old version: {sorted(outdated)}")
+    return not outdated
 
 
-async def add_link(
-    fleet: fleet_module.Fleet, machine: fleet_module.Machine
-) -> None:
-    """Puts a machine behind a link of its rate."""
-    machine.link_mbps = LINK_MBPS
-    machine.ports["advertised"] = fleet.free_port(machine.host)
-    link = link_module.Link(LINK_MBPS, machine.host, machine.ports["inbound"])
-    await link.start(machine.host, machine.ports["advertised"])
+async def is_outdated(
+    fleet: fleet_module.Fleet, machine: fleet_module.Machine, acked_at: float
+) -> bool:
+    """Sends a request; tells whether the service of the old version ran it."""
+    sent_s = time.monotonic() - acked_at
+    request_id, status = await machine.request("/holding/2")
+    services = [
+        other.service
+        for other in fleet.machines
+        for _at, ran_id, _caller in other.worker.ran
+        if ran_id == request_id
+    ]
+    is_old = INQUIRY in services
+    fleet.log(
+        f"{request_id} sent at {machine.name} {sent_s:.2f} s after the ack: "
+        f"{status}, run by {services}{' OLD' if is_old else ''}"
+    )
+    return is_old
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,108 +1,117 @@
-"""A configuration raises a limit that open connections never learn (DENIED)."""
+"""A worker leaves just after its daemon began; a ping comes late (DRAIN)."""
 
 import asyncio
 import pathlib
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from common import fleet as fleet_module
+from common import platform
 from common import wire
 
 INQUIRY = "auskunft"
-ARCHIVE = "akten"
-CALLERS = 40
-# The rule allows this many refusals, and one more for so many requests.
-ALLOWED = 5
-REQUESTS_FOR_ONE = 500
-# Limits of the two versions, and a body of the site between them, in bytes.
-OLD_LIMIT = 262_144
-NEW_LIMIT = 67_108_864
-BODY = b"m" * 360_000
-TIMEOUT_MS = 3000
-# Longest pause of the callers, below four fifths of the idle timeout.
-PAUSE_S = 4.0
-REFUSED = (400, 401, 403, 404, 413, 431)
-
-
-class Caller:
-    """A caller that keeps its connection open for many requests."""
-
-    def __init__(
-        self, fleet: fleet_module.Fleet, machine: fleet_module.Machine
-    ) -> None:
-        """Creates a caller without a connection."""
-        self._fleet = fleet
-        self._machine = machine
-
-    async def open(self) -> None:
-        """Opens the connection and sends a first request on it."""
-        self._reader, self._writer = await asyncio.open_connection(
-            self._machine.host, self._machine.ports["outbound"]
-        )
-        await self.request("GET", "/holding/2")
-
-    async def request(self, method: str, path: str, body: bytes = b"") -> int:
-        """Sends a request on the connection.
-
-        Returns:
-            The status of its answer; 0 if there is none.
-        """
-        request_id = self._fleet.new_id()
-        headers = {
-            "Host": fleet_module.HOST,
-            "Request-Id": request_id,
-            "Deadline-Ms": str(TIMEOUT_MS),
-        }
-        start = f"{method} {path} HTTP/1.1"
-        status = 0
-        try:
-            self._writer.write(wire.encode(start, headers, body))
-            async with asyncio.timeout(TIMEOUT_MS / 1000):
-                response = await wire.read_message(self._reader)
-            status = response.status if response is not None else 0
-        except (TimeoutError, ConnectionError):
-            status = 0
-        self._fleet.log(f"{method} {path} {request_id}: {status}")
-        return status
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self._writer.close()
+# Delay of the late ping.
+LATE_S = 2.0
+# Time for which the worker serves after it said that it is gone.
+STAYS_S = 10.0
+CALLERS = 4
+WORK_S = 0.05
+
+
+async def work(worker: platform.Worker, request: wire.Message) -> bytes:
+    """Runs a request."""
+    await asyncio.sleep(WORK_S)
+    return worker.answer(request, b"served")
 
 
 async def case(fleet: fleet_module.Fleet) -> bool:
-    """Returns whether the daemon refused no more than the rule allows."""
-    upload = {"timeout-s": TIMEOUT_MS / 1000}
-    routes = [
-        fleet_module.route("holding", INQUIRY),
-        fleet_module.route("minutes", ARCHIVE, kind="upload", **upload),
-    ]
-    versions = [
-        fleet_module.configuration(number, routes, [INQUIRY, ARCHIVE])
-        for number in (1, 2)
-    ]
-    versions[1]["limits"]["max-body-bytes"] = NEW_LIMIT
-    first_limit = OLD_LIMIT if fleet_module.IS_TROUBLED else NEW_LIMIT
-    versions[0]["limits"]["max-body-bytes"] = first_limit
-    fleet.store.put("config", "main", versions[0])
-    entry = fleet.add_machine("side-a-1", INQUIRY)
-    fleet.add_machine("side-a-2", ARCHIVE)
+    """Returns whether no request reached the worker after ``drain-s``."""
+    routes = [fleet_module.route("holding", INQUIRY)]
+    fleet.store.put(
+        "config", "main", fleet_module.configuration(1, routes, [INQUIRY])
+    )
+    leaving = fleet.add_machine("side-a-1", INQUIRY)
+    staying = fleet.add_machine("side-a-2", INQUIRY)
     await fleet.start_machines("/holding/1")
-    callers = [Caller(fleet, entry) for _ in range(CALLERS)]
-    for caller in callers:
-        await caller.open()
+    worker = leaving.worker
+    worker.work = staying.worker.work = work
+    await restart_daemon(fleet, leaving)
+    late_ping = worker.ping()
+    fleet.log(f"{worker.instance} sends a ready ping, seq {worker.seq}")
+    if not fleet_module.IS_TROUBLED:
+        status = await leaving.post_ping(worker.instance, late_ping)
+        fleet.log(f"the ready ping arrives: {status}")
+    body = {"born": worker.born}
+    status = await leaving.post_ping(worker.instance, body, "deregister")
+    acked_at = time.monotonic()
+    fleet.log(f"{worker.instance} says that it is gone: {status}")
+    if status != 200:
+        raise fleet_module.CannotRunError("the notice was not acknowledged")
+    end = acked_at + STAYS_S
+    callers = [send_requests(fleet, staying, end) for _ in range(CALLERS)]
     if fleet_module.IS_TROUBLED:
-        fleet.store.put("config", "main", versions[1])
-        fleet.log(f"r2 is acked: max-body-bytes {OLD_LIMIT} -> {NEW_LIMIT}")
-    await asyncio.sleep(PAUSE_S)
-    refused = 0
-    for caller in callers:
-        refused += await caller.request("POST", "/minutes/1", BODY) in REFUSED
-        caller.close()
-    allowed = ALLOWED + 2 * CALLERS // REQUESTS_FOR_ONE
-    fleet.log(f"{refused} of {CALLERS} uploads are refused; {allowed} may be")
-    return refused <= allowed
+        callers.append(deliver_late(fleet, leaving, late_ping))
+    await asyncio.gather(*callers)
+    return not count_late(fleet, leaving, acked_at)
+
+
+async def restart_daemon(
+    fleet: fleet_module.Fleet, machine: fleet_module.Machine
+) -> None:
+    """Stops and starts a daemon while its worker goes on."""
+    machine.stop_pings()
+    machine.signal(signal.SIGTERM)
+    if not await machine.ended(fleet_module.GRACE_S):
+        raise fleet_module.CannotRunError(
+            "the daemon did not end after SIGTERM"
+        )
+    fleet.log(f"the daemon of {machine.name} ended after SIGTERM")
+    machine.start_daemon()
+    while not await machine.is_ready():
+        await asyncio.sleep(0.05)
+    fleet.log(f"the daemon of {machine.name} is ready again")
+
+
+async def deliver_late(
+    fleet: fleet_module.Fleet, machine: fleet_module.Machine, ping: dict
+) -> None:
+    """Delivers a ping late."""
+    await asyncio.sleep(LATE_S)
+    status = await machine.post_ping(machine.worker.instance, ping)
+    fleet.log(f"the ready ping arrives late: {status}")
+
+
+async def send_requests(
+    fleet: fleet_module.Fleet, machine: fleet_module.Machine, end: float
+) -> None:
+    """Sends one request after the other until a time."""
+    while time.monotonic() < end:
+        request_id, status = await machine.request("/holding/2")
+        fleet.log(f"{request_id} sent at {machine.name}: {status}")
+        await asyncio.sleep(0.05)
+
+
+def count_late(
+    fleet: fleet_module.Fleet, machine: fleet_module.Machine, acked_at: float
+) -> int:
+    """Returns how many requests reached a worker that said it is gone.
+
+    Only those that its daemon sent on when it was in touch again count.
+    """
+    late = 0
+    in_touch_at = machine.started_at + fleet_module.IN_TOUCH_S
+    for at, request_id, _caller in machine.worker.ran:
+        if at > max(acked_at + fleet_module.DRAIN_S, in_touch_at):
+            late += 1
+            fleet.log(
+                f"{request_id} reached {machine.worker.instance} "
+                f"{at - acked_at:.2f} s after the ack: LATE"
+            )
+    fleet.log(f"{late} requests reached a worker that is gone")
+    return late
 
 
 if __name__ == "__main__":
