--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -379,7 +379,7 @@
 
     try:
         code = 0 if asyncio.run(run()) else 1
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:  # any failure of the script itself
         fleet.log(f"the case could not run: {error!r}")
     finally:
         fleet.log(f"exit code {code}")
