Reject heartbeats that are not of the instance's upstream

Cause: the sender of the newest heartbeat counted as the upstream, whatever service and address it named, and the daemon's own record took its service.

Change: the service and the address of a heartbeat are compared with the settings, which name both; others are answered 400 with upstream.foreign.

--- a/rattangauge/membership/heartbeats.py
+++ b/rattangauge/membership/heartbeats.py
@@ -7,7 +7,10 @@
 
 from typing import NamedTuple
 
+from rattangauge import errors
 from rattangauge import util
+from rattangauge.generated import errorcodes
+from rattangauge.generated import settings as generated
 
 
 class Heartbeat(NamedTuple):
@@ -63,6 +66,39 @@
     received_at: float
 
 
+def check(received: Heartbeat, instance: generated.Instance) -> None:
+    """Checks that a heartbeat comes from the upstream of the instance.
+
+    The settings name the service and the address of the one upstream beside the
+    daemon. A heartbeat that names others was sent by another writer.
+
+    Args:
+        received: The heartbeat.
+        instance: Settings of the instance; an empty service or address accepts
+            any.
+
+    Raises:
+        errors.FindingsError: The heartbeat names another service or address.
+    """
+    findings = []
+    place = f"heartbeat of {received.instance}"
+
+    def report(field: str, actual: str, expected: str) -> None:
+        text = f"{actual!r} is not {expected!r}, which the settings name"
+        code = errorcodes.UPSTREAM_FOREIGN
+        findings.append(errors.Finding(place, field, text, code))
+
+    if instance.service and received.service != instance.service:
+        report("service", received.service, instance.service)
+    if (
+        instance.upstream
+        and util.parse_address(instance.upstream) != received.address
+    ):
+        report("address", str(received.address), instance.upstream)
+    if findings:
+        raise errors.FindingsError(findings)
+
+
 def _are_same_process(known: Heartbeat, received: Heartbeat) -> bool:
     has_same_start = known.started_ms == received.started_ms
     return known.instance == received.instance and has_same_start
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -196,8 +196,10 @@
         """Handles a heartbeat of the upstream, or the notice that it ends."""
         try:
             announcement = self._read_announcement(request)
+            if isinstance(announcement, heartbeats.Heartbeat):
+                heartbeats.check(announcement, self._settings.instance)
         except errors.FindingsError as error:
-            loguru.logger.warning("request of the upstream rejected: {}", error)
+            loguru.logger.warning("announcement rejected: {}", error)
             return http_messages.Response(400, (), str(error).encode())
         if isinstance(announcement, heartbeats.Heartbeat):
             self._local_upstream.apply_heartbeat(announcement)
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -159,7 +159,7 @@
         service = self._settings.instance.service
         slots = 0
         if upstream is not None:
-            service = upstream.heartbeat.service
+            service = service or upstream.heartbeat.service
             slots = upstream.heartbeat.slots
         state = messages.MemberState.ALIVE
         if self._is_stopping:
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -179,10 +179,10 @@
                 method, f"http://{address}{target}", content=body
             )
 
-    async def send_heartbeat(self, state="ready", slots=4, born=1000):
-        """Sends a heartbeat of the upstream to the daemon."""
+    def heartbeat_body(self, state="ready", slots=4, born=1000):
+        """Returns the body of the next heartbeat of the upstream."""
         self._heartbeat_sequence += 1
-        body = {
+        return {
             "address": self.upstream.address,
             "born": born,
             "info": {
@@ -197,6 +197,13 @@
                 "cold-left-s": 0,
             },
         }
+
+    async def send_heartbeat(self, state="ready", **fields):
+        """Sends a heartbeat; the fields are those of ``heartbeat_body``."""
+        return await self.post_heartbeat(self.heartbeat_body(state, **fields))
+
+    async def post_heartbeat(self, body):
+        """Sends a heartbeat with a given body to the daemon."""
         target = f"/instances/i-{self.name}/heartbeat"
         data = json.dumps(body).encode()
         control = self.settings.listen.control
