Read what peers have in force without checking it again

A follower that could not read a version asked the same peers again for ever.

Change: of what a peer has in force only types and references are checked. A follower that cannot read it reads the store until it has the version. Changes beyond the size of a message are sent as a whole version.

--- a/rattangauge/config/check.py
+++ b/rattangauge/config/check.py
@@ -1,8 +1,10 @@
 """Checks a whole set of objects, including the references between them."""
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from rattangauge import errors
+from rattangauge import fields
 from rattangauge.config import objects as objects_module
 from rattangauge.generated import errorcodes
 from rattangauge.generated import objects as generated
@@ -12,18 +14,52 @@
 MAX_OBJECT_BYTES = 1_000_000
 
 
+class _Reference(NamedTuple):
+    """A field that names objects.
+
+    Attributes:
+        field: Name of the field.
+        kind: Kind of the objects that it names.
+        is_list: Whether it names several.
+        may_be_empty: Whether it may name none by an empty text.
+    """
+
+    field: str
+    kind: str
+    is_list: bool
+    may_be_empty: bool
+
+
+def _reference_fields(kind: str) -> Iterator[_Reference]:
+    """Yields the fields of a kind of object that name other objects."""
+    for field, spec in generated.SPECS[kind].items():
+        item_kind = spec.kind.removeprefix("list[").removesuffix("]")
+        if item_kind.startswith("ref:"):
+            yield _Reference(
+                field,
+                item_kind.removeprefix("ref:"),
+                item_kind != spec.kind,
+                spec.default is not fields.REQUIRED,
+            )
+
+
+# Computed once: each change of the configuration is checked.
+_REFERENCE_FIELDS = {
+    kind: tuple(_reference_fields(kind)) for kind in generated.KINDS
+}
+
+
 def _references(
     kind: str, item: generated.MeshObject
 ) -> Iterator[tuple[str, str, str]]:
     """Yields the field, kind and name of each reference in an object."""
-    for field, spec in generated.SPECS[kind].items():
+    for field, target, is_list, may_be_empty in _REFERENCE_FIELDS[kind]:
         value = getattr(item, field)
-        if spec.kind.startswith("ref:") and value:
-            yield field, spec.kind.removeprefix("ref:"), value
-        elif spec.kind.startswith("list[ref:"):
-            target = spec.kind[len("list[ref:") : -1]
+        if is_list:
             for name in value:
                 yield field, target, name
+        elif value or not may_be_empty:
+            yield field, target, value
 
 
 def _format_place(
@@ -100,6 +136,20 @@
                 )
 
 
+def check_references(
+    objects: objects_module.ObjectSet,
+) -> list[errors.Finding]:
+    """Checks that each object exists to which another one refers.
+
+    Args:
+        objects: The set.
+
+    Returns:
+        A finding for each reference to an object that does not exist.
+    """
+    return list(_check_references(objects, {}))
+
+
 def check_objects(
     objects: objects_module.ObjectSet,
     places: dict[tuple[str, str], str] | None = None,
--- a/rattangauge/config/delta.py
+++ b/rattangauge/config/delta.py
@@ -4,15 +4,20 @@
 that were removed.
 """
 
+from collections.abc import Callable
 import json
 from typing import Any
 import zlib
 
 from rattangauge import errors
+from rattangauge.config import check
 from rattangauge.config import edition as edition_module
 from rattangauge.config import objects as objects_module
 from rattangauge.generated import errorcodes
 
+# Reads the changed objects of a delta; see ``objects.read_tables``.
+_ReadTables = Callable[[dict[str, Any], str], objects_module.LoadResult]
+
 
 def encode_delta(
     base: edition_module.Edition, target: edition_module.Edition
@@ -73,7 +78,10 @@
 
 
 def _apply_changes(
-    base: objects_module.ObjectSet, table: dict[str, Any], place: str
+    base: objects_module.ObjectSet,
+    table: dict[str, Any],
+    place: str,
+    read_tables: _ReadTables,
 ) -> objects_module.ObjectSet:
     merged = {kind: dict(named) for kind, named in base.items()}
     for kind, names in _get_lists(table, "removed", place).items():
@@ -84,7 +92,7 @@
                 )
                 raise _error(text, place, errorcodes.EDITION_MALFORMED)
     changed = _get_lists(table, "changed", place)
-    loaded = objects_module.read_tables(changed, place)
+    loaded = read_tables(changed, place)
     if loaded.findings:
         raise errors.FindingsError(loaded.findings)
     for located in loaded.objects:
@@ -107,7 +115,9 @@
         errors.FindingsError: The delta starts from another edition or is
             malformed, or the result has another digest or a bad reference.
     """
-    merged = _decode_and_apply(base, base.digest, version, data)
+    merged = _decode_and_apply(
+        base, base.digest, version, data, objects_module.read_tables
+    )
     return edition_module.decode(version, digest, edition_module.encode(merged))
 
 
@@ -116,8 +126,8 @@
 ) -> edition_module.Edition:
     """Applies a delta whose base is identified by its version.
 
-    Only the changed objects are checked. The result is not encoded and has no
-    digest.
+    The sender has the result in force, so only the types of the changed objects
+    and the references are checked. The result is not encoded and has no digest.
 
     Args:
         base: Edition that the delta starts from.
@@ -126,18 +136,27 @@
 
     Raises:
         errors.FindingsError: The delta starts from another edition or is
-            malformed.
+            malformed, or the result has a bad reference.
     """
-    merged = _decode_and_apply(base, str(base.version), version, data)
+    merged = _decode_and_apply(
+        base, str(base.version), version, data, objects_module.read_received
+    )
+    findings = check.check_references(merged)
+    if findings:
+        raise errors.FindingsError(findings)
     return edition_module.Edition(version, "", merged, b"")
 
 
 def _decode_and_apply(
-    base: edition_module.Edition, base_id: str, version: int, data: bytes
+    base: edition_module.Edition,
+    base_id: str,
+    version: int,
+    data: bytes,
+    read_tables: _ReadTables,
 ) -> objects_module.ObjectSet:
     place = f"delta to version {version}"
     table = edition_module.decode_table(data, place)
     if table.get("base") != base_id:
         text = f"the delta starts from {table.get('base')}, not {base_id}"
         raise _error(text, place, errorcodes.EDITION_DELTA_BASE)
-    return _apply_changes(base.objects, table, place)
+    return _apply_changes(base.objects, table, place, read_tables)
--- a/rattangauge/config/edition.py
+++ b/rattangauge/config/edition.py
@@ -82,8 +82,21 @@
     return tables
 
 
+def _check_digest(digest: str, data: bytes, place: str) -> None:
+    """Checks the digest of received data.
+
+    Raises:
+        errors.FindingsError: The data have another digest.
+    """
+    actual = digest_of(data)
+    if actual != digest:
+        message = f"the data have the digest {actual}, not {digest}"
+        code = errorcodes.EDITION_DIGEST
+        raise errors.FindingsError([errors.Finding(place, "", message, code)])
+
+
 def decode(version: int, digest: str, data: bytes) -> Edition:
-    """Decodes an edition and checks its digest and all its objects.
+    """Decodes a published edition and checks its digest and all its objects.
 
     Args:
         version: Version under which the data were received.
@@ -95,11 +108,7 @@
             an object or a reference is not valid.
     """
     place = f"version {version}"
-    actual = digest_of(data)
-    if actual != digest:
-        message = f"the data have the digest {actual}, not {digest}"
-        code = errorcodes.EDITION_DIGEST
-        raise errors.FindingsError([errors.Finding(place, "", message, code)])
+    _check_digest(digest, data, place)
     loaded = objects_module.read_tables(decode_table(data, place), place)
     objects, collected = objects_module.build_set(loaded.objects)
     findings = (
@@ -108,3 +117,28 @@
     if findings:
         raise errors.FindingsError(findings)
     return Edition(version, digest, objects, data)
+
+
+def decode_received(version: int, digest: str, data: bytes) -> Edition:
+    """Decodes an edition that another daemon has in force.
+
+    Its digest and the types of its fields are checked, and its references, on
+    which the daemon relies; see ``objects.read_received`` for the values.
+
+    Args:
+        version: Version under which the data were received.
+        digest: Expected digest of the data.
+        data: The encoded objects.
+
+    Raises:
+        errors.FindingsError: The data have another digest or cannot be read.
+    """
+    place = f"version {version}"
+    _check_digest(digest, data, place)
+    loaded = objects_module.read_received(decode_table(data, place), place)
+    objects, collected = objects_module.build_set(loaded.objects)
+    findings = loaded.findings + collected.findings
+    findings += check.check_references(objects)
+    if findings:
+        raise errors.FindingsError(findings)
+    return Edition(version, digest, objects, data)
--- a/rattangauge/config/objects.py
+++ b/rattangauge/config/objects.py
@@ -1,5 +1,6 @@
 """Reads named configuration objects from TOML files and from editions."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import json
 import pathlib
@@ -46,8 +47,31 @@
     return {kind: {} for kind in generated.KINDS}
 
 
+# Checks the values of one kind of object; see ``fields.check``.
+_CheckFields = Callable[..., dict[str, Any]]
+
+
+def _check_published(
+    specs: dict[str, fields.FieldSpec],
+    table: dict[str, Any],
+    codes: fields.Codes,
+    report: Callable[[str, str, str], None],
+) -> dict[str, Any]:
+    """Checks an object that an operator publishes, its name included."""
+    values = fields.check(specs, table, codes, report)
+    name = values.get("name")
+    if isinstance(name, str) and not NAME_PATTERN.fullmatch(name):
+        text = f"{fields.show(name)} is not a name"
+        report("name", text, errorcodes.OBJECT_NAME)
+    return values
+
+
 def _read_object(
-    kind: str, table: Any, place: str, findings: list[errors.Finding]
+    kind: str,
+    table: Any,
+    place: str,
+    findings: list[errors.Finding],
+    check_fields: _CheckFields,
 ) -> generated.MeshObject | None:
     name = table.get("name") if isinstance(table, dict) else None
     label = fields.label(name) if isinstance(name, str) else "without a name"
@@ -62,26 +86,15 @@
             "", f"{fields.show(table)} is not a table", errorcodes.OBJECT_TYPE
         )
         return None
-    values = fields.check(generated.SPECS[kind], table, _CODES, report)
-    name = values.get("name")
-    if isinstance(name, str) and not NAME_PATTERN.fullmatch(name):
-        report(
-            "name",
-            f"{fields.show(name)} is not a name",
-            errorcodes.OBJECT_NAME,
-        )
+    values = check_fields(generated.SPECS[kind], table, _CODES, report)
     if len(findings) > before:
         return None
     return generated.KINDS[kind](**values)
 
 
-def read_tables(tables: dict[str, Any], place: str) -> LoadResult:
-    """Reads objects from a table that maps a kind to a list of objects.
-
-    Args:
-        tables: The table.
-        place: Source of the table, for the findings.
-    """
+def _read_tables(
+    tables: dict[str, Any], place: str, check_fields: _CheckFields
+) -> LoadResult:
     loaded = LoadResult([], [])
     for kind, rows in tables.items():
         if kind not in generated.KINDS:
@@ -92,12 +105,38 @@
             )
             continue
         for row in rows if isinstance(rows, list) else [rows]:
-            found = _read_object(kind, row, place, loaded.findings)
+            found = _read_object(
+                kind, row, place, loaded.findings, check_fields
+            )
             if found is not None:
                 loaded.objects.append(LocatedObject(kind, found, place))
     return loaded
 
 
+def read_tables(tables: dict[str, Any], place: str) -> LoadResult:
+    """Reads objects that an operator publishes and checks all their values.
+
+    Args:
+        tables: A table that maps a kind to a list of objects.
+        place: Source of the table, for the findings.
+    """
+    return _read_tables(tables, place, _check_published)
+
+
+def read_received(tables: dict[str, Any], place: str) -> LoadResult:
+    """Reads objects that another daemon has in force.
+
+    Only their types are checked. Names and values were checked by whoever
+    accepted the configuration, possibly by other rules than ``read_tables``; a
+    second opinion would leave the daemons with different versions in force.
+
+    Args:
+        tables: A table that maps a kind to a list of objects.
+        place: Source of the table, for the findings.
+    """
+    return _read_tables(tables, place, fields.check_types)
+
+
 def read_text(text: str, place: str) -> LoadResult:
     """Reads objects from the text of one TOML file.
 
--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -123,17 +123,17 @@
     return ""
 
 
-def check(
+def check_types(
     specs: dict[str, FieldSpec],
     table: dict[str, Any],
     codes: Codes,
     report: Callable[[str, str, str], None],
 ) -> dict[str, Any]:
-    """Checks a table and returns the values of all its fields.
+    """Checks the fields of a table and the types of their values.
 
     Args:
         specs: Specification of each field.
-        table: The values as parsed from TOML.
+        table: The values as parsed from TOML or JSON.
         codes: Error codes to report with.
         report: Called with field, message and code of each finding.
 
@@ -151,13 +151,32 @@
                 values[name] = spec.default
             continue
         value = table[name]
-        if not _has_type(spec.kind, value):
+        if _has_type(spec.kind, value):
+            values[name] = tuple(value) if isinstance(value, list) else value
+        else:
             message = f"{show(value)} is not of type {spec.kind}"
             report(name, message, codes.type)
-        elif error_text := _address_error(spec, value):
+    return values
+
+
+def check(
+    specs: dict[str, FieldSpec],
+    table: dict[str, Any],
+    codes: Codes,
+    report: Callable[[str, str, str], None],
+) -> dict[str, Any]:
+    """Checks the fields of a table, and the types and ranges of their values.
+
+    Args and result are those of ``check_types``.
+    """
+    values = check_types(specs, table, codes, report)
+    for name in table.keys() & values.keys():
+        spec, value = specs[name], table[name]
+        if error_text := _address_error(spec, value):
             report(name, error_text, codes.address)
         elif error_text := _range_error(spec, value):
             report(name, error_text, codes.range)
         else:
-            values[name] = tuple(value) if isinstance(value, list) else value
+            continue
+        del values[name]
     return values
--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -2,7 +2,8 @@
 
 A daemon that watches the store gets each new configuration from there. A daemon
 that does not watch the store, or cannot reach it, pulls the configuration from
-a peer that reports a newer version.
+a peer that reports a newer version. If it cannot read what the peer sends, it
+reads the store.
 """
 
 from collections.abc import Callable
@@ -131,6 +132,8 @@
         # Peers of the last successful and the last failed pull.
         self._last_source = ""
         self._failed_source = ""
+        # Newest version that a peer sent and this daemon could not read.
+        self._unreadable_version = 0
         self._outdated_since = 0.0
         self._store_answered_at = -math.inf
         self._history = editionhistory.EditionHistory()
@@ -254,6 +257,9 @@
             or not sources
             or unconfirmed_s >= UNCONFIRMED_GRACE_S
         )
+        # The peers that follow the store send what it has in force; one that
+        # cannot read it gets it from the store itself.
+        must_watch = must_watch or self.version < self._unreadable_version
         if must_watch is not self._is_watcher:
             self._is_watcher = must_watch
             self._record_role(sources, now)
@@ -421,6 +427,7 @@
             code, reason = error.code, error.message
         except errors.FindingsError as error:
             code, reason = error.findings[0].code, str(error)
+            self._unreadable_version = max(self._unreadable_version, wanted)
         except TimeoutError:
             code = errorcodes.LINK_SILENT
             reason = f"no whole answer in {PULL_TIMEOUT_S} s"
@@ -470,7 +477,9 @@
                     break
         data = b"".join(data_parts)
         if not part.delta:
-            edition = edition_module.decode(part.version, part.digest, data)
+            edition = edition_module.decode_received(
+                part.version, part.digest, data
+            )
             return Delivery(edition, address, Form.WHOLE, 1, requested_at)
         current = self._history.current
         if current is None or part.version <= current.version:
--- a/rattangauge/sidecar/editionhistory.py
+++ b/rattangauge/sidecar/editionhistory.py
@@ -87,7 +87,8 @@
         """Returns the encoded changes from a version to the current one.
 
         Returns:
-            The changes; None if the configuration of that version is not kept.
+            The changes; None if the configuration of that version is not kept,
+            or if they do not fit into one message.
         """
         if version not in self._changes:
             bases = [base for base in self._bases if base.version == version]
@@ -95,7 +96,8 @@
                 return None
             changes = delta.encode_delta_by_version(bases[-1], current)
             self._changes[version] = changes
-        return self._changes[version]
+        changes = self._changes[version]
+        return changes if len(changes) <= edition_module.PART_BYTES else None
 
 
 def _encoded(edition: edition_module.Edition) -> edition_module.Edition:
