Keep a departure whether or not its process is known

Cause: a departure changed only a process that was known, and was dropped else; and the daemon that acknowledged it was the only one that knew of it.

Change: the processes that have announced that they leave are remembered by identity and start, in whatever order announcements arrive. Reports between daemons name them, so that a daemon learns after a restart what it has acknowledged before.

--- a/rattangauge/membership/heartbeats.py
+++ b/rattangauge/membership/heartbeats.py
@@ -2,9 +2,12 @@
 
 A heartbeat may arrive late: it may have been sent before the upstream announced
 that it leaves, or by a process that has ended since. Heartbeats are therefore
-ordered by the start time of the process and their sequence number.
+ordered by the start time of the process and their sequence number. An
+announcement that a process leaves binds whether or not the process is known: it
+may overtake the heartbeats that it follows.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from rattangauge import errors
@@ -12,6 +15,9 @@
 from rattangauge.generated import errorcodes
 from rattangauge.generated import settings as generated
 
+# Departed processes that are remembered; the oldest ones are forgotten first.
+MAX_DEPARTURES = 256
+
 
 class Heartbeat(NamedTuple):
     """A heartbeat of an upstream.
@@ -159,3 +165,84 @@
     if known is None or not _are_same_process(known.heartbeat, sender):
         return known
     return known._replace(is_leaving=True)
+
+
+class UpstreamRecord:
+    """What the announcements of the upstream say, in any order of arrival."""
+
+    def __init__(self, now_ms: Callable[[], int] = util.now_ms) -> None:
+        """Creates a record without announcements.
+
+        Args:
+            now_ms: Returns the time in milliseconds since 1970.
+        """
+        self._now_ms = now_ms
+        self._upstream: Upstream | None = None
+        # Processes that have announced that they leave. The value is the latest
+        # start, in milliseconds since 1970, of the processes that are meant.
+        self._departures: dict[Departure, int] = {}
+
+    @property
+    def upstream(self) -> Upstream | None:
+        """Last known state of the upstream; None before its first heartbeat."""
+        return self._upstream
+
+    @property
+    def departure_count(self) -> int:
+        """Number of remembered departures."""
+        return len(self._departures)
+
+    @property
+    def last_departure(self) -> Departure | None:
+        """The process of the upstream, if it leaves, else the last that left.
+
+        None if no process has announced that it leaves.
+        """
+        if self._upstream is not None and self._upstream.is_leaving:
+            heartbeat = self._upstream.heartbeat
+            return Departure(heartbeat.instance, heartbeat.started_ms)
+        return next(reversed(self._departures), None)
+
+    def apply_heartbeat(self, received: Heartbeat, now: float) -> None:
+        """Applies a heartbeat.
+
+        Args:
+            received: The heartbeat.
+            now: Monotonic time in seconds.
+        """
+        if received.is_draining:
+            self._remember(Departure(received.instance, received.started_ms))
+        current = apply_heartbeat(self._upstream, received, now)
+        if not current.is_leaving and self._has_departed(current.heartbeat):
+            current = current._replace(is_leaving=True)
+        self._upstream = current
+
+    def apply_departure(self, received: Departure) -> None:
+        """Applies a departure, also that of a process that is not known."""
+        self._remember(received)
+        self._upstream = apply_departure(self._upstream, received)
+
+    def apply_leaving_notice(self, sender: Heartbeat) -> None:
+        """Applies a response that says that its sender leaves.
+
+        Args:
+            sender: Heartbeat of the process that sent the response.
+        """
+        self._remember(Departure(sender.instance, sender.started_ms))
+        self._upstream = apply_leaving_notice(self._upstream, sender)
+
+    def _remember(self, departure: Departure) -> None:
+        # Without a start, all processes that have started by now are meant.
+        until_ms = departure.started_ms or self._now_ms()
+        self._departures.pop(departure, None)
+        self._departures[departure] = until_ms
+        if len(self._departures) > MAX_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+
+    def _has_departed(self, heartbeat: Heartbeat) -> bool:
+        """Tells whether the process of a heartbeat has announced its leave."""
+        instance, started_ms = heartbeat.instance, heartbeat.started_ms
+        if Departure(instance, started_ms) in self._departures:
+            return True
+        until_ms = self._departures.get(Departure(instance, 0), -1)
+        return started_ms <= until_ms
--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -51,6 +51,9 @@
         own_calls: Number of calls that this daemon has sent to it and that have
             not ended.
         known_since: Time of the first report of its present process.
+        leaving: Last process of its upstream that announced that it leaves, as
+            this or an earlier process of the daemon reported; None if there is
+            none.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self._on_change = on_change
         self.own_calls = 0
         self.known_since = -math.inf
+        self.leaving: messages.LeavingUpstream | None = None
         self._load = messages.Load()
         self._load_received_at = 0.0
         self._own_calls_at_load = 0
@@ -334,10 +338,15 @@
         if is_outdated and not (is_new and peer.failures):
             return False
         if peer is None or is_new:
+            leaving = peer.leaving if peer is not None else None
             peer = self._peers[received.mesh] = self._make_peer(received)
             peer.known_since = now
+            peer.leaving = leaving
             self._handle_change()
         peer.member = received
+        for process in news.leaving:
+            if process.mesh == received.mesh:
+                peer.leaving = process
         peer.set_watching(received.watches, now)
         peer.update_load(news.load, now)
         return is_new
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -54,7 +54,7 @@
         )
         self._header_names = header_names
         self._log = log
-        self._upstream: heartbeats.Upstream | None = None
+        self._record = heartbeats.UpstreamRecord()
         self._client: client_module.Client | None = None
         self._queue = call_queue.Queue(0, 0)
         self._named_rate = upstreamrate.NamedRate("")
@@ -71,14 +71,19 @@
     @property
     def upstream(self) -> heartbeats.Upstream | None:
         """Last known state of the upstream; None before its first heartbeat."""
-        return self._upstream
+        return self._record.upstream
+
+    @property
+    def last_departure(self) -> heartbeats.Departure | None:
+        """See ``heartbeats.UpstreamRecord.last_departure``."""
+        return self._record.last_departure
 
     @property
     def state(self) -> messages.UpstreamState:
         """State of the upstream, as reported to peers."""
-        if self._upstream is None:
+        if self.upstream is None:
             return messages.UpstreamState.ABSENT
-        if self._upstream.is_leaving or self._is_stopping:
+        if self.upstream.is_leaving or self._is_stopping:
             return messages.UpstreamState.DRAINING
         return messages.UpstreamState.SERVING
 
@@ -114,22 +119,25 @@
 
     def apply_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
         """Updates the state of the upstream from its heartbeat."""
-        now = time.monotonic()
-        self._set_upstream(
-            heartbeats.apply_heartbeat(self._upstream, heartbeat, now)
-        )
+        before = self.upstream
+        self._record.apply_heartbeat(heartbeat, time.monotonic())
+        self._follow_record(before)
 
     def apply_departure(self, departure: heartbeats.Departure) -> None:
         """Updates the state of the upstream after its departure notice."""
-        self._set_upstream(
-            heartbeats.apply_departure(self._upstream, departure)
-        )
+        before = self.upstream
+        self._record.apply_departure(departure)
+        self._follow_record(before)
 
-    def _set_upstream(self, current: heartbeats.Upstream | None) -> None:
-        previous = self._upstream
+    def _follow_record(self, previous: heartbeats.Upstream | None) -> None:
+        """Adapts queue and connections to the state of the upstream.
+
+        Args:
+            previous: State before the last announcement.
+        """
+        current = self.upstream
         if current is None or current is previous:
             return
-        self._upstream = current
         heartbeat = current.heartbeat
         if _reported_properties(previous) != _reported_properties(current):
             self._record_change(heartbeat)
@@ -190,7 +198,7 @@
                 answer was received.
         """
         call_open = request.open
-        upstream, client, queue = self._upstream, self._client, self._queue
+        upstream, client, queue = self.upstream, self._client, self._queue
         if upstream is None or client is None or upstream.is_leaving:
             raise self._refuse(request, "the upstream takes no calls")
         if upstream.heartbeat.service != call_open.service:
@@ -378,11 +386,9 @@
             text = "the deadline passed while the call ran"
             raise exchange.unknown(text, errorcodes.CALL_DEADLINE) from error
         if upstreamhttp.is_leaving(self._header_names, response):
-            self._set_upstream(
-                heartbeats.apply_leaving_notice(
-                    self._upstream, upstream.heartbeat
-                )
-            )
+            before = self.upstream
+            self._record.apply_leaving_notice(upstream.heartbeat)
+            self._follow_record(before)
         self._follow_named_rate(upstream, response, sent_at)
         if upstreamhttp.is_refusal(self._header_names, response):
             failure = exchange.not_run(
@@ -406,7 +412,7 @@
             response: Its response.
             sent_at: Monotonic time of the request, in seconds.
         """
-        current = self._upstream
+        current = self.upstream
         if current is None or _process(current) != _process(upstream):
             return
         if response.status == upstreamhttp.WRONG_INSTANCE_STATUS:
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -18,6 +18,7 @@
 from rattangauge import settings as settings_module
 from rattangauge.generated import logevents
 from rattangauge.generated import messages
+from rattangauge.membership import heartbeats
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import connection_pool
 from rattangauge.sidecar import configsync
@@ -175,7 +176,36 @@
         )
         load = self._local_upstream.load
         own.update_load(load, time.monotonic())
-        return messages.PeerNews(own.member, load)
+        departure = self._local_upstream.last_departure
+        if departure is not None and departure.started_ms:
+            own.leaving = messages.LeavingUpstream(
+                own.member.mesh, departure.instance, departure.started_ms
+            )
+        leaving = (own.leaving,) if own.leaving is not None else ()
+        return messages.PeerNews(own.member, load, leaving=leaving)
+
+    def _report_to(self, address: str) -> messages.PeerNews:
+        """Returns the daemon's report for one peer.
+
+        It says which upstream of the peer was last known to leave: the peer may
+        have restarted since it acknowledged that.
+        """
+        report = self._refresh_own_report()
+        peer = self._peers.get(address)
+        if peer is None or peer.leaving is None:
+            return report
+        return report._replace(leaving=(*report.leaving, peer.leaving))
+
+    def _update_peers(self, report: messages.PeerNews) -> None:
+        """Applies the report of a peer to the table and the local upstream."""
+        self._peers.update(report, time.monotonic())
+        own_mesh = self._peers.own.member.mesh
+        for process in report.leaving:
+            if process.mesh == own_mesh:
+                departure = heartbeats.Departure(
+                    process.instance, process.started_ms
+                )
+                self._local_upstream.apply_departure(departure)
 
     async def handle_report(
         self, stream: connection_pool.Stream, report: messages.PeerNews
@@ -188,11 +218,12 @@
         configuration.
         """
         now = time.monotonic()
-        self._peers.update(report, now)
-        peer = self._peers.get(report.member.mesh)
-        self._start_exchange(report.member.mesh)
+        address = report.member.mesh
+        self._update_peers(report)
+        peer = self._peers.get(address)
+        self._start_exchange(address)
         if peer is not None and now - peer.known_since < FULL_REPLY_S:
-            await stream.send(self._refresh_own_report())
+            await stream.send(self._report_to(address))
         else:
             version = self._config_sync.version
             watches = self._config_sync.is_watching
@@ -314,7 +345,7 @@
             address: Mesh address of the peer.
             timeout_s: Time within which it must answer, in seconds.
         """
-        report = self._refresh_own_report()
+        report = self._report_to(address)
         try:
             reply = await self._links.request(
                 address, report, timeout_s, connection_pool.SMALL_BODIES
@@ -324,7 +355,7 @@
             return False
         peer = self._peers.get(address)
         if isinstance(reply, messages.PeerNews):
-            self._peers.update(reply, time.monotonic())
+            self._update_peers(reply)
             peer = self._peers.get(address)
         if peer is not None:
             if isinstance(reply, messages.VersionAck):
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -191,9 +191,18 @@
   mesh @4 :Text;        # of the sender
 }
 
+# A process of an upstream that has announced that it leaves.
+struct LeavingUpstream {
+  mesh @0 :Text;         # mesh address of the daemon beside it
+  instance @1 :Text;     # identity of the process
+  startedMs @2 :UInt64;  # its start, milliseconds since 1970
+}
+
 # Report of a daemon about itself to its peers.
 struct PeerNews {
   member @0 :Member;
   load @1 :Load;
   digest @2 :Text;      # of the configuration in force
+  # Of the upstreams of the sender and of the receiver those known to leave.
+  leaving @3 :List(LeavingUpstream);
 }
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -122,6 +122,7 @@
         log: Log of decisions of the daemon.
         log_bytes: Data that was written to the log.
         node: The daemon, once it has been started.
+        is_ended: Whether the daemon has been started and has ended.
     """
 
     def __init__(self, name, service, zone, store_address, upstream):
@@ -130,6 +131,7 @@
         self.service = service
         self.upstream = upstream
         self.node = None
+        self.is_ended = False
         self.log_bytes = bytearray()
         self.log = decisionlog.DecisionLog(name, zone, self._write)
         self._heartbeat_sequence = 0
@@ -149,6 +151,7 @@
 
     async def run(self):
         """Runs the daemon until it is stopped or killed."""
+        self.is_ended = False
         with anyio.CancelScope() as self._scope:
             client = httpx.AsyncClient(
                 base_url=self.settings.platform.url,
@@ -166,6 +169,7 @@
                 )
                 await self.node.run()
                 tasks.cancel_scope.cancel()
+        self.is_ended = True
 
     def kill(self):
         """Ends the daemon without a graceful stop."""
@@ -209,11 +213,12 @@
         control = self.settings.listen.control
         return await self.send_request(control, "POST", target, data)
 
-    async def deregister(self):
-        """Tells the daemon that the upstream has ended."""
+    async def deregister(self, **fields):
+        """Tells the daemon that the upstream has ended; fields are the body."""
         target = f"/instances/i-{self.name}/deregister"
+        body = json.dumps(fields).encode() if fields else b""
         return await self.send_request(
-            self.settings.listen.control, "POST", target
+            self.settings.listen.control, "POST", target, body
         )
 
     async def is_ready(self):
