Bound the memory and the time of messages without end

Callers saw (report of other operators): a faulty upstream sent bytes without end, and the daemon that had called it ran out of memory; the requests of its other callers ended with it.

Cause: each chunk became an object of its own; lengths of chunks were allowed for each byte of a body; the event loop reads a connection on and on while bytes are there; and the bounds were constants beside machines of 200 to 552 MB. A sound response that was received while others filled the bound was given up in their place.

Change: bodies are collected in one buffer, framing is bounded beside them, a connection that reads much waits for all else that is due, and one bound on all messages in part follows the memory of the machine (setting instance.memory_mb); the largest message is given up. Requests that wait and that are handled count. Requests to the control, readiness and metrics addresses have 64 kB at most.

The tests of the client use the bound of a machine of 200 MB (36 MB) in place of the constant of 48 MB.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import math
 import os
 import socket
@@ -18,8 +17,10 @@
 import loguru
 
 from rattangauge import futures
+from rattangauge import receivememory
 from rattangauge import util
 from rattangauge.http import messages
+from rattangauge.http import pacing
 from rattangauge.http import parsing
 
 CONNECT_TIMEOUT_S = 1.0
@@ -29,15 +30,13 @@
 # Keep-alive timeout of an upstream that does not announce one.
 DEFAULT_IDLE_S = 4.0
 MAX_HEADER_BYTES = 65_536
+# Largest body of a response; less on a machine with little memory.
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-# Limit of the bodies that all connections to an upstream have received in part.
-# Those of several responses without end would otherwise fill the memory.
-MAX_UNFINISHED_BYTES = 48 * 1024 * 1024
+# Limit of a response beside its headers and body.
+FRAMING_BYTES = 256 * 1024
 # Number of responses to other requests after which an exchange fails.
 MAX_SKIPPED = 8
 
-_MESSAGE_LIMITS = parsing.MessageLimits(MAX_HEADER_BYTES, MAX_RESPONSE_BYTES)
-
 
 class NotSentError(Exception):
     """The request was not sent, so the upstream has not run it."""
@@ -56,14 +55,13 @@
             the clock of ``time.monotonic``, in seconds.
     """
 
-    def __init__(self, check_memory: Callable[[], None]) -> None:
+    def __init__(self, memory: receivememory.ReceiveMemory) -> None:
         """Creates a connection.
 
         Args:
-            check_memory: Called after received bytes; raises
-                ``parsing.MessageError`` if they are too many.
+            memory: Memory of all messages that have been received in part.
         """
-        self._check_memory = check_memory
+        self._memory = memory
         self._has_ended = False
         self.is_reused = False
         self.reusable_until = 0.0
@@ -78,14 +76,10 @@
         # which may be before it calls connection_lost.
         return not self._has_ended and not self._transport.is_closing()
 
-    @property
-    def unfinished_bytes(self) -> int:
-        """Received bytes of the body of a response that is not complete."""
-        return self._reader.body_size if self._reader is not None else 0
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
         self._transport: Any = transport
+        self._pacer = pacing.ReadPacer(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; aborts if no request is waiting for them."""
@@ -94,10 +88,24 @@
             return
         try:
             self._reader.feed(data)
-            self._check_memory()
         except parsing.MessageError as error:
-            self._error = error
-            self.abort()
+            self._fail(error)
+            return
+        self._memory.update(self, self._reader.held_bytes)
+        self._pacer.record_read(len(data))
+        futures.wake(self._response_waiter)
+
+    def give_up(self, reason: str) -> None:
+        """Ends the connection, since its response takes too much memory."""
+        self._fail(parsing.MessageError(413, reason))
+
+    def _fail(self, error: parsing.MessageError) -> None:
+        """Ends the connection and discards what it has received in part."""
+        self._error = error
+        self.abort()
+        if self._reader is not None:
+            self._reader.discard()
+        self._memory.update(self, 0)
         futures.wake(self._response_waiter)
 
     def eof_received(self) -> bool:
@@ -120,7 +128,10 @@
 
     def send(self, data: bytes) -> None:
         """Sends a request and prepares for its response."""
-        self._reader = parsing.ResponseReader(_MESSAGE_LIMITS)
+        body_bytes = min(MAX_RESPONSE_BYTES, self._memory.message_bytes)
+        self._reader = parsing.ResponseReader(
+            parsing.MessageLimits(MAX_HEADER_BYTES, body_bytes, FRAMING_BYTES)
+        )
         self._transport.write(data)
 
     async def receive(self, deadline: float) -> messages.Response:
@@ -147,6 +158,7 @@
         """
         reader, self._reader = self._reader, None
         assert reader is not None
+        self._memory.update(self, 0)
         has_more = reader.has_begun or bool(reader.responses)
         is_sent = not self._transport.get_write_buffer_size()
         return self.is_open and is_sent and not has_more
@@ -185,18 +197,24 @@
 class Client:
     """Client of one upstream with a pool of idle connections."""
 
-    def __init__(self, address: util.Address, id_header: bytes) -> None:
+    def __init__(
+        self,
+        address: util.Address,
+        id_header: bytes,
+        memory: receivememory.ReceiveMemory,
+    ) -> None:
         """Creates a client; connections are opened when needed.
 
         Args:
             address: Address of the upstream.
             id_header: Name of the header that identifies a request and its
                 response.
+            memory: Memory of all messages that have been received in part.
         """
         self._address = address
         self._id_header = id_header
+        self._memory = memory
         self._idle: list[_Connection] = []
-        self._active: set[_Connection] = set()
 
     @property
     def address(self) -> util.Address:
@@ -227,13 +245,11 @@
         # Only an identity tells the response of a reused connection.
         may_reuse = bool(request.header(self._id_header))
         connection = await self._connect(may_reuse)
-        self._active.add(connection)
         response = None
         try:
             connection.send(messages.encode_request(request))
             response = await self._receive(connection, request, deadline)
         finally:
-            self._active.discard(connection)
             is_reusable = connection.finish()
             if response is None or not (is_reusable and response.keeps_alive):
                 connection.abort()
@@ -244,17 +260,6 @@
             self._idle.append(connection)
         return response
 
-    def _check_memory(self) -> None:
-        """Checks the bodies that have been received in part.
-
-        Raises:
-            parsing.MessageError: They exceed the limit.
-        """
-        size = sum(active.unfinished_bytes for active in self._active)
-        if size > MAX_UNFINISHED_BYTES:
-            text = f"the unfinished responses have {size} bytes"
-            raise parsing.MessageError(413, text)
-
     async def _connect(self, may_reuse: bool) -> _Connection:
         """Returns an idle connection that may be reused, or opens one.
 
@@ -274,7 +279,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _transport, connection = await loop.create_connection(
-                    lambda: _Connection(self._check_memory),
+                    lambda: _Connection(self._memory),
                     self._address.host,
                     self._address.port,
                 )
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -10,8 +10,16 @@
 from rattangauge.http import messages
 
 # Bytes of a message beside its headers and body, such as the lengths of chunks,
-# that are allowed for each byte of the body. A chunk of one byte needs five.
-MAX_FRAMING_PER_BODY_BYTE = 8
+# that are allowed for each byte of the body beyond the number that always is. A
+# chunk costs the receiver time whatever its size, and needs five such bytes.
+FRAMING_PER_BODY_BYTE = 0.125
+# Memory of a header beside its characters.
+HEADER_OVERHEAD_BYTES = 150
+# Memory of a complete message beside its headers and body.
+MESSAGE_OVERHEAD_BYTES = 500
+# Complete responses that wait. An upstream sends one for each request, and a
+# faulty one any number.
+MAX_WAITING_RESPONSES = 16
 
 
 class MessageError(Exception):
@@ -33,12 +41,17 @@
     Attributes:
         header_bytes: Maximum size of the headers and the request target.
         body_bytes: Maximum size of the body.
+        framing_bytes: Size of everything else, such as the lengths of chunks,
+            that is always allowed.
     """
 
-    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+    def __init__(
+        self, header_bytes: int, body_bytes: int, framing_bytes: int
+    ) -> None:
         """Creates limits, in bytes."""
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
+        self.framing_bytes = framing_bytes
 
 
 class _MessageReader:
@@ -51,10 +64,11 @@
 
     def _reset(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body_parts: list[bytes] = []
+        # One buffer, as a piece of its own for each chunk of a few bytes would
+        # take many times their size.
+        self._body = bytearray()
         self._target = b""
         self._header_size = 0
-        self._body_size = 0
         self._has_begun = False
         self._has_headers = False
 
@@ -71,7 +85,17 @@
     @property
     def body_size(self) -> int:
         """Number of bytes of that message's body that have been received."""
-        return self._body_size
+        return len(self._body)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the message that has been received in part."""
+        overhead = HEADER_OVERHEAD_BYTES * len(self._headers)
+        return self._header_size + overhead + len(self._body)
+
+    def discard(self) -> None:
+        """Frees the memory of the message that has been received in part."""
+        self._reset()
 
     def _fail(self, status: int, reason: str) -> None:
         """Raises an error and stores it for ``_feed``.
@@ -103,10 +127,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a piece of the body."""
-        self._body_size += len(data)
-        if self._body_size > self._limits.body_bytes:
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
             self._fail(413, f"its body exceeds {self._limits.body_bytes} bytes")
-        self._body_parts.append(data)
 
     def _check_framing(self, received: int) -> None:
         """Checks the size of an unfinished message without its body.
@@ -125,8 +148,9 @@
         if self._has_headers:
             # Trailers may be as large as the headers.
             limit *= 2
-        limit += MAX_FRAMING_PER_BODY_BYTE * self._body_size
-        if received - self._body_size > limit:
+            limit += self._limits.framing_bytes
+            limit += int(FRAMING_PER_BODY_BYTE * self.body_size)
+        if received - self.body_size > limit:
             raise MessageError(431, "its headers or chunks do not end")
 
     def _check_lengths(self) -> None:
@@ -178,10 +202,18 @@
         """Whether the connection stays open after the last request."""
         return self._parser.should_keep_alive()
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Memory of the complete requests that have not been removed."""
+        return sum(
+            MESSAGE_OVERHEAD_BYTES + len(request.body)
+            for request in self.requests
+        )
+
     @property
     def expects_continue(self) -> bool:
         """Whether the sender waits for 100 Continue before the body."""
-        if not self._has_headers or self._body_size:
+        if not self._has_headers or self._body:
             return False
         expected = messages.find(self._headers, b"expect")
         return expected.lower() == b"100-continue"
@@ -225,7 +257,7 @@
                 self._parser.get_method().decode("ascii"),
                 self._target.decode("latin-1"),
                 tuple(self._headers),
-                b"".join(self._body_parts),
+                bytes(self._body),
                 self._headers_at,
                 self._parser.should_keep_alive(),
                 self._is_first,
@@ -283,11 +315,13 @@
 
     def _add_response(self, keeps_alive: bool) -> None:
         status = self._parser.get_status_code()
+        if len(self.responses) >= MAX_WAITING_RESPONSES:
+            self._fail(400, f"more than {MAX_WAITING_RESPONSES} came at once")
         if status >= 200:  # 1xx: the final response follows
             response = messages.Response(
                 status,
                 tuple(self._headers),
-                b"".join(self._body_parts),
+                bytes(self._body),
                 keeps_alive,
             )
             self.responses.append(response)
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -19,8 +19,10 @@
 import loguru
 
 from rattangauge import futures
+from rattangauge import receivememory
 from rattangauge import util
 from rattangauge.http import messages
+from rattangauge.http import pacing
 from rattangauge.http import parsing
 
 # Number of waiting requests at which the server stops reading a connection.
@@ -35,9 +37,9 @@
 # of the request is discarded. If it was closed at once, the caller could get a
 # reset instead of the response.
 LINGER_S = 0.5
-# Maximum total size of the bodies of incomplete requests. A request above it is
-# rejected with 503, so that a peak of uploads does not use up the memory.
-MAX_PARTIAL_BODY_BYTES = 96 * 1024 * 1024
+# Limit of a request beside its headers and body. A caller may send a body of
+# 800 kB in chunks of one byte.
+FRAMING_BYTES = 4 * 1024 * 1024
 
 
 class Limits(NamedTuple):
@@ -63,14 +65,13 @@
 
 
 class Server:
-    """Serves callers at one address.
-
-    Attributes:
-        partial_body_bytes: Total size of the bodies of incomplete requests.
-    """
+    """Serves callers at one address."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], Limits] = Limits
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits] = Limits,
+        memory: receivememory.ReceiveMemory | None = None,
     ) -> None:
         """Creates a server.
 
@@ -78,18 +79,25 @@
             handler: Returns the response to a request. It is cancelled if the
                 caller disconnects.
             limits: Returns the limits in force.
+            memory: Memory of all messages that have been received in part; one
+                of its own by default.
         """
         self._handler = handler
         self._limits = limits
         self._is_closing = False
         self._connections: set[_Connection] = set()
-        self.partial_body_bytes = 0
+        self._memory = memory or receivememory.ReceiveMemory()
 
     @property
     def limits(self) -> Limits:
         """Limits in force."""
         return self._limits()
 
+    @property
+    def memory(self) -> receivememory.ReceiveMemory:
+        """Memory of all messages that have been received in part."""
+        return self._memory
+
     @property
     def is_closing(self) -> bool:
         """Whether connections are closed after their next response."""
@@ -161,7 +169,6 @@
         self._tasks = futures.Tasks()
         self._running: deque[_RunningRequest] = deque()
         self._error: parsing.MessageError | None = None
-        self._partial_body_bytes = 0
         self._is_paused = False
         self._is_ending = False
         self._has_sent_continue = False
@@ -179,8 +186,11 @@
         """Starts reading from a caller."""
         limits = self._server.limits
         self._transport: Any = transport
+        self._pacer = pacing.ReadPacer(transport)
         self._reader = parsing.RequestReader(
-            parsing.MessageLimits(limits.header_bytes, limits.body_bytes)
+            parsing.MessageLimits(
+                limits.header_bytes, limits.body_bytes, FRAMING_BYTES
+            )
         )
         self._server.add(self)
         self._set_timeout(limits.idle_s)
@@ -199,7 +209,7 @@
         """Cancels the requests of a caller that has disconnected."""
         self._is_ending = True
         self._tasks.cancel()
-        self._set_partial_body_bytes(0)
+        self._server.memory.update(self, 0)
         self._server.discard(self)
         if self._timer is not None:
             self._timer.cancel()
@@ -221,10 +231,16 @@
         self._tasks.cancel()
         self._transport.close()
 
-    def _set_partial_body_bytes(self, size: int) -> None:
-        """Updates the size of incomplete bodies, which the server adds up."""
-        self._server.partial_body_bytes += size - self._partial_body_bytes
-        self._partial_body_bytes = size
+    def give_up(self, reason: str) -> None:
+        """Rejects the request, since it takes too much memory.
+
+        Requests that are complete and wait for their turn are rejected with it:
+        the connection ends, and its caller repeats them.
+        """
+        self._error = parsing.MessageError(503, reason)
+        self._reader.discard()
+        self._reader.requests.clear()
+        self._start_requests()
 
     def _feed_reader(self, data: bytes) -> None:
         """Feeds the parser; an error is kept until earlier requests end."""
@@ -232,11 +248,13 @@
             self._reader.feed(data, time.monotonic())
         except parsing.MessageError as error:
             self._error = error
-            return
-        self._set_partial_body_bytes(self._reader.body_size)
-        if self._server.partial_body_bytes > MAX_PARTIAL_BODY_BYTES:
-            reason = "the daemon holds too many bodies"
-            self._error = parsing.MessageError(503, reason)
+            self._reader.discard()
+        self._pacer.record_read(len(data))
+
+    def _update_memory(self) -> None:
+        """Counts the requests that are not handled yet."""
+        size = self._reader.held_bytes + self._reader.waiting_bytes
+        self._server.memory.update(self, size)
 
     def _start_requests(self) -> None:
         """Starts the waiting requests that may be handled now."""
@@ -246,18 +264,17 @@
             self._running.append(running)
             self._tasks.start(self._handle(running))
         self._throttle_reading()
-        if self._error is not None and not self._running and not requests:
+        self._update_memory()
+        # The update may have rejected the request already.
+        is_due = not self._running and not requests and not self._is_ending
+        if self._error is not None and is_due:
             self._reject(self._error)
 
     def _throttle_reading(self) -> None:
         """Pauses reading while too many requests are waiting."""
         if self._is_ending:
             return
-        has_many = len(self._reader.requests) >= MAX_WAITING_REQUESTS
-        if has_many and self._transport.is_reading():
-            self._transport.pause_reading()
-        elif not has_many and not self._transport.is_reading():
-            self._transport.resume_reading()
+        self._pacer.hold(len(self._reader.requests) >= MAX_WAITING_REQUESTS)
 
     def _may_start(self, request: messages.Request) -> bool:
         """Tells whether a request may be handled together with earlier ones.
@@ -272,12 +289,17 @@
         return methods <= SAFE_METHODS and len(self._running) < MAX_CONCURRENT
 
     async def _handle(self, running: _RunningRequest) -> None:
+        memory = self._server.memory
+        body_bytes = len(running.request.body)
+        memory.pin(body_bytes)
         try:
             running.response = await self._server.handle(running.request)
             self._send_responses()
         except Exception:  # an error in one request must not end the daemon
             loguru.logger.exception("unexpected error in a request handler")
             self.close()
+        finally:
+            memory.unpin(body_bytes)
 
     def _send_responses(self) -> None:
         """Sends the finished responses in the order of the requests."""
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -12,6 +12,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import futures
+from rattangauge import receivememory
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.calls import call_queue
@@ -40,6 +41,7 @@
         self,
         settings: settings_module.Settings,
         header_names: headernames.HeaderNames,
+        memory: receivememory.ReceiveMemory,
         log: decisionlog.DecisionLog,
     ) -> None:
         """Creates the state before the first heartbeat of an upstream.
@@ -47,12 +49,14 @@
         Args:
             settings: Settings of the daemon.
             header_names: Names of the HTTP headers of the platform.
+            memory: Memory of all messages that have been received in part.
             log: Log of decisions.
         """
         self._receive_budget = receivebudget.ReceiveBudget(
             settings.instance.link_mbps
         )
         self._header_names = header_names
+        self._memory = memory
         self._log = log
         self._record = heartbeats.UpstreamRecord()
         self._client: client_module.Client | None = None
@@ -176,7 +180,7 @@
         if self._client is not None:
             self._client.close()
         self._client = client_module.Client(
-            heartbeat.address, self._header_names.request_id
+            heartbeat.address, self._header_names.request_id, self._memory
         )
 
     def stop(self) -> None:
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -11,6 +11,7 @@
 from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge import process_signals
+from rattangauge import receivememory
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.calls import shutdown as shutdown_module
@@ -33,6 +34,10 @@
 # Time between two checks whether all requests have ended.
 STOP_CHECK_PERIOD_S = 0.05
 
+BYTES_PER_MB = 1024 * 1024
+# Limits of the requests at all addresses but that for callers.
+SMALL_REQUESTS = server_module.Limits(body_bytes=65_536)
+
 # Message of an upstream to its daemon: that it serves calls, or that it ends.
 Announcement = heartbeats.Heartbeat | heartbeats.Departure
 
@@ -74,8 +79,11 @@
         self._read_announcement = read_announcement
         self._links = connection_pool.Links(settings, tasks)
         self._peers = peers_module.PeerTable(_own_member(settings))
+        self._memory = receivememory.ReceiveMemory(
+            int(settings.instance.memory_mb * BYTES_PER_MB)
+        )
         self._local_upstream = localupstream.LocalUpstream(
-            settings, header_names, log
+            settings, header_names, self._memory, log
         )
         self._dispatcher = dispatch_module.Dispatcher(
             settings,
@@ -103,7 +111,9 @@
             log,
         )
         self._caller_server = server_module.Server(
-            self._dispatcher.handle, lambda: self._dispatcher.limits
+            self._dispatcher.handle,
+            lambda: self._dispatcher.limits,
+            self._memory,
         )
         self._stopping = anyio.Event()
 
@@ -137,7 +147,10 @@
         loguru.logger.info("the daemon stopped")
 
     def _server(self, handler: server_module.Handler) -> server_module.Server:
-        return server_module.Server(handler)
+        """Returns a server for small requests of the platform."""
+        return server_module.Server(
+            handler, lambda: SMALL_REQUESTS, self._memory
+        )
 
     def stop(self) -> None:
         """Starts a graceful shutdown."""
--- a/tests/test_closed_transports.py
+++ b/tests/test_closed_transports.py
@@ -14,6 +14,7 @@
 import pytest
 
 from rattangauge import errors
+from rattangauge import receivememory
 from rattangauge import util
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
@@ -135,7 +136,11 @@
 
 async def test_a_request_is_not_sent_on_an_ended_connection(monkeypatch):
     """Guards against a call whose caller is cut off without an answer."""
-    client = client_module.Client(util.Address("127.0.0.1", 1), b"request-id")
+    client = client_module.Client(
+        util.Address("127.0.0.1", 1),
+        b"request-id",
+        receivememory.ReceiveMemory(),
+    )
 
     async def create_connection(factory, *_address):
         protocol = factory()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,10 +8,13 @@
 import anyio
 import pytest
 
+from rattangauge import receivememory
 from rattangauge import util
 from rattangauge.http import client as client_module
 from rattangauge.http import messages
 
+# Memory of the smallest machines of the platform.
+MEMORY_BYTES = 200 * 1024 * 1024
 OWN = b"Request-Id: own\r\n"
 OK = b"HTTP/1.1 200 OK\r\n" + OWN + b"Content-Length: 2\r\n\r\nok"
 OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nContent-Length: 2\r\n\r\nno"
@@ -52,7 +55,9 @@
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     client = client_module.Client(
-        util.Address("127.0.0.1", port), b"request-id"
+        util.Address("127.0.0.1", port),
+        b"request-id",
+        receivememory.ReceiveMemory(MEMORY_BYTES),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, serve)
@@ -352,7 +357,7 @@
                     tasks.start_soon(exchange, client)
         assert len(failed) == 4
     # All four begin at the same time, so the sum of their parts is limited.
-    assert sum(sent) < 3 * client_module.MAX_UNFINISHED_BYTES
+    assert sum(sent) < 3 * receivememory.partial_limit(MEMORY_BYTES)
 
 
 async def test_chunks_of_one_byte_are_a_response():
@@ -387,7 +392,11 @@
 
 async def test_an_upstream_that_cannot_be_reached_has_not_run_the_call():
     """Guards against an unknown outcome of a call that was never sent."""
-    client = client_module.Client(util.Address("127.0.0.1", 1), b"request-id")
+    client = client_module.Client(
+        util.Address("127.0.0.1", 1),
+        b"request-id",
+        receivememory.ReceiveMemory(),
+    )
     with pytest.raises(client_module.NotSentError):
         await client.exchange(request())
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -241,13 +241,16 @@
     async with serving(echo) as (server, connect):
         stream = await connect()
         await stream.send(
-            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabcd"
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n"
         )
         await anyio.sleep(0.05)
-        assert server.partial_body_bytes == 4
+        held = server.memory.used_bytes
+        await stream.send(b"abcd")
+        await anyio.sleep(0.05)
+        assert server.memory.used_bytes == held + 4
         await stream.send(b"efghij")
         assert b"POST / 10" in await read_all(stream)
-        assert server.partial_body_bytes == 0
+        assert server.memory.used_bytes == 0
 
 
 @hypothesis.settings(max_examples=60, deadline=None)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -306,6 +306,9 @@
         "#limits.link-mbps": "",
         "limits.link-mbps": "3.5",
         "/limits.link-mbps": "",
+        "#limits.memory-mb": "",
+        "limits.memory-mb": "300",
+        "/limits.memory-mb": "",
         "#bounds.grace-s": "",
         "bounds.grace-s": "10",
         "/bounds.grace-s": "",
@@ -326,6 +329,7 @@
     assert settings.instance.zone == "zone-1"
     assert settings.listen.operators == "10.0.0.1:7600"
     assert settings.instance.link_mbps == 3.5
+    assert settings.instance.memory_mb == 300
     assert settings.shutdown.limit_s == 10.0
     assert settings.platform.stable_s == 4.0
     assert settings.platform.url == "http://10.0.0.1:80"
