--- a/rattangauge/config/edition.py
+++ b/rattangauge/config/edition.py
@@ -7,14 +7,15 @@
 import zlib
 
 from rattangauge import errors
+from rattangauge import receivememory
 from rattangauge.config import check
 from rattangauge.config import objects as objects_module
 from rattangauge.generated import errorcodes
 
 # Stays below 1 MB, the limit of the platform's store for a value.
 PART_BYTES = 900_000
-# Limit on the size of a decompressed edition, against data that would fill the
-# memory.
+# Limit on the size of a decompressed edition. On machines with little memory it
+# is lower, see ``max_edition_bytes``.
 MAX_EDITION_BYTES = 64_000_000
 
 
@@ -34,6 +35,12 @@
     data: bytes
 
 
+def max_edition_bytes() -> int:
+    """Returns the largest size of a decompressed edition on this machine."""
+    memory_bytes = receivememory.machine_bytes()
+    return receivememory.document_limit(memory_bytes, MAX_EDITION_BYTES)
+
+
 def digest_of(data: bytes) -> str:
     """Returns the SHA-256 of data in hexadecimal."""
     return hashlib.sha256(data).hexdigest()
@@ -71,7 +78,7 @@
     """
     decompressor = zlib.decompressobj()
     try:
-        text = decompressor.decompress(data, MAX_EDITION_BYTES)
+        text = decompressor.decompress(data, max_edition_bytes())
         tables = json.loads(text)
     except (zlib.error, ValueError, RecursionError) as error:
         raise _malformed_error(str(error), place) from error
--- a/rattangauge/receivememory.py
+++ b/rattangauge/receivememory.py
@@ -6,6 +6,7 @@
 that holds the most is given up, so that small ones beside it arrive.
 """
 
+import functools
 import os
 from typing import Protocol
 
@@ -18,6 +19,12 @@
 PARTIAL_SHARE = 0.25
 # The bound on machines with little memory.
 MIN_PARTIAL_BYTES = 16 * 1024 * 1024
+# Share of the rest of the memory for the text of one document. Parsed, it takes
+# up to 20 times the size of its text.
+DOCUMENT_SHARE = 1 / 32
+MIN_DOCUMENT_BYTES = 4 * 1024 * 1024
+# Parsing holds the event loop for a time that grows with the text.
+MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
 # Share of the bound that one message may take.
 MESSAGE_SHARE = 0.5
 
@@ -29,6 +36,7 @@
         """Discards the message, and the connection if need be."""
 
 
+@functools.cache
 def machine_bytes() -> int:
     """Returns the memory of the machine, in bytes."""
     return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
@@ -47,6 +55,22 @@
     return max(MIN_PARTIAL_BYTES, int(spare_bytes * PARTIAL_SHARE))
 
 
+def document_limit(
+    memory_bytes: int, max_bytes: int = MAX_DOCUMENT_BYTES
+) -> int:
+    """Returns the largest text of a document that is parsed, in bytes.
+
+    Args:
+        memory_bytes: Memory that the process may use, in bytes.
+        max_bytes: Largest result, in bytes.
+
+    >>> document_limit(300 * 1024**2) // 1024**2
+    7
+    """
+    share_bytes = int((memory_bytes - IDLE_BYTES) * DOCUMENT_SHARE)
+    return min(max_bytes, max(MIN_DOCUMENT_BYTES, share_bytes))
+
+
 class ReceiveMemory:
     """Memory of all messages that have been received in part."""
 
@@ -90,6 +114,10 @@
             self._sizes[holder] = size
         self._give_up_excess()
 
+    def has_room(self, size: int) -> bool:
+        """Tells whether a message of a size fits beside all others."""
+        return self._used_bytes + size <= self._limit_bytes
+
     def pin(self, size: int) -> None:
         """Counts a complete message that is being handled.
 
--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -463,7 +463,7 @@
             errors.FindingsError: The configuration is not valid.
         """
         requested_at = time.monotonic()
-        data_parts = []
+        data = bytearray()
         async with self._links.stream(
             address, connection_pool.SMALL_BODIES
         ) as stream:
@@ -472,19 +472,23 @@
                 part = await stream.receive()
                 if not isinstance(part, messages.EditionPart):
                     return None
-                data_parts.append(part.data)
+                data += part.data
+                if len(data) > edition_module.max_edition_bytes():
+                    text = f"{address} sent {len(data)} bytes of one version"
+                    raise errors.CodedError(errorcodes.FRAME_OVERSIZED, text)
                 if part.last:
                     break
-        data = b"".join(data_parts)
         if not part.delta:
             edition = edition_module.decode_received(
-                part.version, part.digest, data
+                part.version, part.digest, bytes(data)
             )
             return Delivery(edition, address, Form.WHOLE, 1, requested_at)
         current = self._history.current
         if current is None or part.version <= current.version:
             return None
-        edition = delta.apply_delta_by_version(current, part.version, data)
+        edition = delta.apply_delta_by_version(
+            current, part.version, bytes(data)
+        )
         return Delivery(edition, address, Form.CHANGES, 1, requested_at)
 
     async def serve(
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -218,7 +218,11 @@
             request = await self._receive_body_in_turn(request)
             received_at = time.monotonic()
             self._running_request_ids.add(request_id)
-            answer = await self._exchange(client, upstream, request)
+            self._memory.pin(len(request.open.body))
+            try:
+                answer = await self._exchange(client, upstream, request)
+            finally:
+                self._memory.unpin(len(request.open.body))
             status = answer.status
         finally:
             self._running_request_ids.discard(request_id)
@@ -250,6 +254,8 @@
         if request.body is None:
             return request
         size = request.open.body_bytes
+        if not self._memory.has_room(size):
+            raise self._refuse(request, "the memory has no room for the body")
         try:
             async with self._receive_budget.reserve(size, request.deadline):
                 return await upstreamhttp.receive_body(request)
--- a/rattangauge/sidecar/upstreamhttp.py
+++ b/rattangauge/sidecar/upstreamhttp.py
@@ -1,5 +1,6 @@
 """Converts calls to HTTP requests, and responses of the upstream to answers."""
 
+from collections.abc import AsyncIterator
 import time
 
 import anyio
@@ -93,19 +94,34 @@
     costs no transfer between daemons.
 
     Raises:
-        exchange.CallFailed: The body was not received completely. The call did
-            not run.
+        exchange.CallFailed: The body was not received completely, or is longer
+            than announced. The call did not run.
     """
     if request.body is None:
         return request
     remaining_s = max(0.0, request.deadline - time.monotonic())
     try:
         with anyio.fail_after(remaining_s):
-            parts = [part async for part in request.body]
+            body = await _join(request.body, request.open.body_bytes)
     except TimeoutError as error:
         text = "the deadline passed before the whole body came"
         raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
     except exchange.CallFailed as failure:
         raise exchange.not_run(failure.code, failure.message) from failure
-    call_open = request.open._replace(body=b"".join(parts), last=True)
+    call_open = request.open._replace(body=body, last=True)
     return request._replace(open=call_open, body=None)
+
+
+async def _join(pieces: AsyncIterator[bytes], size: int) -> bytes:
+    """Joins the pieces of a body of a given size.
+
+    Raises:
+        exchange.CallFailed: They are longer.
+    """
+    body = bytearray()
+    async for piece in pieces:
+        body += piece
+        if len(body) > size:
+            text = f"the body is longer than the announced {size} bytes"
+            raise exchange.not_run(errorcodes.CALL_BODY_LIMIT, text)
+    return bytes(body)
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -1,17 +1,30 @@
 """Senders whose messages never end, beside sound ones (LOST)."""
 
 import contextlib
+import gzip
 import time
 from typing import NamedTuple
+import zlib
 
 import anyio
+import httpx
 import pytest
+from rattangauge_platform import store as store_module
 
+from rattangauge import errors
 from rattangauge import receivememory
 from rattangauge import util
+from rattangauge.calls import exchange
+from rattangauge.config import edition as edition_module
+from rattangauge.generated import errorcodes
+from rattangauge.generated import messages as generated
 from rattangauge.http import client as client_module
 from rattangauge.http import messages
 from rattangauge.http import server as server_module
+from rattangauge.net import connection_pool
+from rattangauge.net import meshserver
+from rattangauge.sidecar import configsync
+from rattangauge.sidecar import upstreamhttp
 from tests import meshes
 
 # Memory of the smallest machines of the platform.
@@ -131,7 +144,7 @@
     watch = Watch()
     ended = []
 
-    async def exchange(client):
+    async def run_exchange(client):
         deadline = time.monotonic() + TIMEOUT_S
         with pytest.raises((client_module.NoResponseError, TimeoutError)):
             await client.exchange(request(), deadline)
@@ -143,7 +156,7 @@
             tasks.start_soon(watch.run)
             async with anyio.create_task_group() as exchanges:
                 for _ in range(SENDERS):
-                    exchanges.start_soon(exchange, client)
+                    exchanges.start_soon(run_exchange, client)
             tasks.cancel_scope.cancel()
     assert len(ended) == SENDERS
     assert max(ended) < LATE_S
@@ -301,3 +314,142 @@
     assert len(statuses) == 4
     assert 200 not in statuses
     assert watch.max_lag_s < MAX_LAG_S
+
+
+# First bytes of an answer of the store and those that are repeated without end.
+STORE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+STORE_CHUNKED = STORE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "body-to-the-end": (STORE_HEAD + b"\r\n", b"a"),
+    "chunks-of-one-byte": (STORE_CHUNKED, b"1\r\na\r\n"),
+    "large-chunks": (STORE_CHUNKED, b"8000\r\n" + b"a" * 0x8000 + b"\r\n"),
+    "header": (STORE_HEAD + b"X: ", b"a"),
+    "interim-responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "no-response": (b"", b"nonsense"),
+    "refusal": (b"HTTP/1.1 503 Busy\r\n\r\n", b"a"),
+}
+
+
+def store_at(address, timeout_s):
+    """Returns the client of a store at an address."""
+    http_client = httpx.AsyncClient(
+        base_url=f"http://{address}", timeout=timeout_s, verify=False
+    )
+    return http_client, store_module.ObjectStore(http_client, MEMORY_BYTES)
+
+
+@pytest.mark.parametrize("form", ENDLESS_ANSWERS)
+async def test_an_answer_of_the_store_without_end_is_none(form):
+    """Guards against a store that uses up the memory of each daemon."""
+    begin, more = ENDLESS_ANSWERS[form]
+    watch = Watch()
+
+    async def serve(stream):
+        await stream.receive()
+        await stream.send(begin)
+        while True:
+            await stream.send(more * (65_536 // len(more)))
+
+    async with listening(serve) as address:
+        http_client, store = store_at(address, 0.5)
+        async with http_client, anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            for call in (store.read_configuration, store.list_daemons):
+                arguments = (False,) if call == store.list_daemons else ()
+                with anyio.fail_after(5.0):
+                    with pytest.raises(errors.CodedError):
+                        await call(*arguments)
+            tasks.cancel_scope.cancel()
+    assert watch.max_lag_s < MAX_LAG_S
+    assert watch.growth_bytes < MEMORY_BYTES - receivememory.IDLE_BYTES
+
+
+async def test_an_answer_of_the_store_that_comes_slowly_ends():
+    """Guards against a daemon that waits for one answer for ever."""
+
+    async def serve(stream):
+        await stream.receive()
+        await stream.send(STORE_CHUNKED)
+        while True:
+            await stream.send(b"1\r\n \r\n")
+            await anyio.sleep(0.05)
+
+    async with listening(serve) as address:
+        http_client, store = store_at(address, 0.2)
+        async with http_client:
+            with anyio.fail_after(3.0):
+                with pytest.raises(errors.CodedError) as caught:
+                    await store.watch_configuration(1, 0.2)
+    assert caught.value.code == errorcodes.STORE_UNAVAILABLE
+
+
+async def test_a_compressed_answer_of_the_store_is_rejected():
+    """Guards against an answer that is small until it is read."""
+    bomb = gzip.compress(b" " * 50_000_000)
+    head = STORE_HEAD + b"Content-Encoding: gzip\r\n"
+
+    async def serve(stream):
+        await stream.receive()
+        length = b"Content-Length: %d\r\n\r\n" % len(bomb)
+        await stream.send(head + length + bomb)
+
+    async with listening(serve) as address:
+        http_client, store = store_at(address, 0.5)
+        async with http_client:
+            with pytest.raises(errors.CodedError) as caught:
+                await store.read_configuration()
+    assert caught.value.code == errorcodes.STORE_PROTOCOL
+
+
+async def test_a_body_beyond_its_announced_size_is_not_run():
+    """Guards against a daemon whose body fills the memory of another one."""
+
+    async def pieces():
+        while True:
+            yield b"a" * 65_536
+
+    opened = generated.CallOpen(method="POST", body_bytes=100_000)
+    received = exchange.Request(opened, pieces(), time.monotonic() + TIMEOUT_S)
+    with pytest.raises(exchange.CallFailed) as caught:
+        await upstreamhttp.receive_body(received)
+    assert caught.value.outcome == generated.Outcome.NOT_RUN
+
+
+def test_a_version_that_grows_when_it_is_read_is_rejected():
+    """Guards against a small message of a daemon that fills the memory."""
+    data = zlib.compress(b" " * (edition_module.MAX_EDITION_BYTES + 1) + b"{}")
+    digest = edition_module.digest_of(data)
+    with pytest.raises(errors.FindingsError):
+        edition_module.decode_received(1, digest, data)
+
+
+async def test_a_version_without_end_is_given_up(monkeypatch):
+    """Guards against a daemon that sends parts of a version for ever."""
+    monkeypatch.setattr(
+        edition_module.receivememory, "machine_bytes", lambda: MEMORY_BYTES
+    )
+    sent = []
+
+    async def handle(stream, _message):
+        part = generated.EditionPart(2, "", False, b"a" * 900_000, False)
+        while True:
+            await stream.send(part)
+            sent.append(len(part.data))
+
+    limit_bytes = edition_module.max_edition_bytes()
+    async with meshes.running() as mesh:
+        a = await mesh.prepare("a")
+        listener = util.listen("127.0.0.1")
+        host, port = listener.getsockname()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(meshserver.serve_socket, listener, handle, 1.0)
+            links = connection_pool.Links(a.settings, tasks)
+            sync = configsync.ConfigSync(
+                a.settings, None, None, links, None, a.log
+            )
+            with anyio.fail_after(5.0):
+                with pytest.raises(errors.CodedError) as caught:
+                    await sync._receive(f"{host}:{port}")
+            tasks.cancel_scope.cancel()
+    assert caught.value.code == errorcodes.FRAME_OVERSIZED
+    assert sum(sent) < 8 * limit_bytes
