Bound what a connection between daemons holds unread

Cause: the credit of a stream bounds the bodies on it, and their number bounds all other messages; 4,160 messages of 1 MB could wait on each stream.

Change: a connection ends when its streams have received 16 MB that nobody has read, and it waits for all else that is due after a large read, as the connections of HTTP do.

Measured: test_messages_that_nobody_reads_end_the_connection fails on on both event loops and passes now.

--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -19,6 +19,7 @@
 from rattangauge import metrics
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.http import pacing
 from rattangauge.net import connection_monitor
 from rattangauge.net import frames
 from rattangauge.net import streams
@@ -42,6 +43,9 @@
 # No pong is sent while this many bytes wait for a peer that does not read, so
 # that its pings cannot use up the memory.
 MAX_UNREAD_BYTES = 16 * 1024 * 1024
+# Bytes that the streams of a connection may have received and not read. The
+# credit of each stream bounds bodies alone.
+MAX_RECEIVED_BYTES = 16 * 1024 * 1024
 
 Handler = Callable[[streams.Stream, messages.Message], Awaitable[None]]
 
@@ -64,6 +68,8 @@
         self._monitor = monitor
         self._handler = handler
         self._transport: Any = None
+        self._pacer: pacing.ReadPacer | None = None
+        self._unread_bytes = 0
         self._frame_parser = frames.FrameParser()
         self._streams: dict[int, streams.Stream] = {}
         self._unnumbered_streams: set[streams.Stream] = set()
@@ -104,6 +110,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; aborts it if the set-up was abandoned."""
         self._transport = transport
+        self._pacer = pacing.ReadPacer(transport)
         if self._error is None:
             self._monitor.add(self)
         else:
@@ -127,6 +134,19 @@
                 self._dispatch(number, message)
         except errors.CodedError as error:
             self._reject(error)
+        if self._pacer is not None:
+            self._pacer.record_read(len(data))
+
+    def count_unread(self, size: int) -> None:
+        """Adds to the bytes that the streams have received and not read.
+
+        Raises:
+            errors.CodedError: They are too many.
+        """
+        self._unread_bytes += size
+        if size > 0 and self._unread_bytes > MAX_RECEIVED_BYTES:
+            text = f"{self._unread_bytes} bytes on the connection are not read"
+            raise errors.CodedError(errorcodes.FRAME_UNEXPECTED, text)
 
     def eof_received(self) -> bool:
         """Rejects a connection that ends inside a frame."""
@@ -271,7 +291,7 @@
             stream = self._streams[number]
             if not self._is_opener:
                 stream.update_patience(message)
-            stream.deliver(message)
+            stream.deliver(message, self._frame_parser.frame_bytes)
         elif self._handler is not None and _may_open_stream(message):
             self._accept_stream(number, message)
 
--- a/rattangauge/net/frames.py
+++ b/rattangauge/net/frames.py
@@ -95,11 +95,16 @@
 
 
 class FrameParser:
-    """Parses the received bytes of a connection into frames."""
+    """Parses the received bytes of a connection into frames.
+
+    Attributes:
+        frame_bytes: Size of the last frame that was yielded.
+    """
 
     def __init__(self) -> None:
         """Creates a parser with an empty buffer."""
         self._buffer = bytearray()
+        self.frame_bytes = 0
 
     @property
     def has_partial_frame(self) -> bool:
@@ -122,4 +127,5 @@
             del self._buffer[:end]
             number, message = unpack(payload)
             metrics.observe_received(message, end)
+            self.frame_bytes = end
             yield number, message
--- a/rattangauge/net/streams.py
+++ b/rattangauge/net/streams.py
@@ -44,6 +44,9 @@
     def post(self, stream: "Stream | None", message: messages.Message) -> None:
         """Sends a message without waiting for room in the transport."""
 
+    def count_unread(self, size: int) -> None:
+        """Adds to the bytes that the streams have received and not read."""
+
     def discard(self, stream: "Stream") -> None:
         """Removes a stream from the connection."""
 
@@ -60,7 +63,8 @@
         """Creates a stream; only connections do this."""
         self._connection = connection
         self.number = number
-        self._received: deque[messages.Message] = deque()
+        # Messages that have not been read, each with the size of its frame.
+        self._received: deque[tuple[messages.Message, int]] = deque()
         self._message_waiter: asyncio.Future[None] | None = None
         self._credit_waiter: asyncio.Future[None] | None = None
         self._has_ended = False
@@ -176,7 +180,8 @@
                 raise self._connection.closed_error()
             self._message_waiter = asyncio.get_running_loop().create_future()
             await futures.wait(self._message_waiter, deadline)
-        message = self._received.popleft()
+        message, frame_bytes = self._received.popleft()
+        self._connection.count_unread(-frame_bytes)
         if isinstance(message, _BODY_MESSAGES):
             await self._return_credit(len(message.body))
         return message
@@ -198,12 +203,16 @@
         if self._has_ended or self._received:
             callback()
 
-    def deliver(self, message: messages.Message) -> None:
+    def deliver(self, message: messages.Message, frame_bytes: int) -> None:
         """Stores a message that arrived, or adds the credit that it grants.
 
+        Args:
+            message: The message.
+            frame_bytes: Size of its frame.
+
         Raises:
-            errors.CodedError: The sender exceeded its credit or the number of
-                waiting messages.
+            errors.CodedError: The sender exceeded its credit, or the number or
+                the size of waiting messages.
         """
         if isinstance(message, messages.Credit):
             self._credit_bytes += message.bytes
@@ -221,7 +230,8 @@
         if len(self._received) >= MAX_WAITING_MESSAGES:
             text = f"stream {self.number} has too many messages waiting"
             raise errors.CodedError(errorcodes.FRAME_UNEXPECTED, text)
-        self._received.append(message)
+        self._connection.count_unread(frame_bytes)
+        self._received.append((message, frame_bytes))
         futures.wake(self._message_waiter)
 
     def end(self) -> None:
@@ -237,5 +247,7 @@
     def discard(self) -> None:
         """Removes the stream from its connection and ends it."""
         self._on_interrupt = None
+        self._connection.count_unread(-sum(size for _, size in self._received))
+        self._received.clear()
         self._connection.discard(self)
         self.end()
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -7,6 +7,7 @@
 import zlib
 
 import anyio
+import anyio.lowlevel
 import httpx
 import pytest
 from rattangauge_platform import store as store_module
@@ -453,3 +454,33 @@
             tasks.cancel_scope.cancel()
     assert caught.value.code == errorcodes.FRAME_OVERSIZED
     assert sum(sent) < 8 * limit_bytes
+
+
+async def test_messages_that_nobody_reads_end_the_connection():
+    """Guards against a daemon that sends more than the other one can hold."""
+    watch = Watch()
+    large = generated.PeerNews(digest="a" * 900_000)
+    sent = []
+
+    async def handle(stream, _message):
+        await anyio.sleep_forever()
+
+    async with meshes.running() as mesh:
+        a = await mesh.prepare("a")
+        listener = util.listen("127.0.0.1")
+        host, port = listener.getsockname()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(meshserver.serve_socket, listener, handle, 1.0)
+            tasks.start_soon(watch.run)
+            links = connection_pool.Links(a.settings, tasks)
+            with anyio.fail_after(5.0), pytest.raises(errors.CodedError):
+                async with links.stream(
+                    f"{host}:{port}", connection_pool.SMALL_BODIES
+                ) as stream:
+                    while True:
+                        await stream.send(large)
+                        sent.append(large)
+                        await anyio.lowlevel.checkpoint()
+            tasks.cancel_scope.cancel()
+    assert sum(len(news.digest) for news in sent) < MEMORY_BYTES / 2
+    assert watch.growth_bytes < MEMORY_BYTES / 2
