Take no address with a network interface for another process

Cause: ipaddress takes any text behind the % of an IPv6 address, the event loop looks it up, and its error is none that the caller of a connection expects. The address that a daemon tells of itself was not checked at all.

Change: the address of another process has no interface, and a text that is no address is link.connect when a connection is opened to it.

--- a/rattangauge/net/connection_pool.py
+++ b/rattangauge/net/connection_pool.py
@@ -85,7 +85,18 @@
         return connection
 
     async def _establish(self, address: str) -> Connection:
-        host, port = util.parse_address(address)
+        """Opens a connection.
+
+        Raises:
+            errors.CodedError: The connection cannot be opened, or the text is
+                no address: other daemons tell their addresses themselves.
+        """
+        try:
+            host, port = util.parse_remote_address(address)
+        except ValueError as error:
+            raise errors.CodedError(
+                errorcodes.LINK_CONNECT, str(error), address
+            ) from error
         own_address = util.parse_address(self._settings.listen.mesh)
         loop = asyncio.get_running_loop()
         connection = Connection(self._monitor)
--- a/rattangauge/util.py
+++ b/rattangauge/util.py
@@ -50,9 +50,12 @@
     """Parses the ``IP:PORT`` of another process, whose port is not 0.
 
     Raises:
-        ValueError: The text is not such an address.
+        ValueError: The text is not such an address, or it names a network
+            interface, which only means something on the other machine.
     """
     address = parse_address(text)
+    if "%" in address.host:
+        raise ValueError(f"{text!r} names a network interface")
     if not address.port:
         raise ValueError(f"{text!r} has port 0, at which nothing can be called")
     return address
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 
 from rattangauge import errors
 from rattangauge.generated import errorcodes
+from rattangauge.net import connection_pool
 from rattangauge.sidecar import stores
 from tests import meshes
 
@@ -36,6 +37,14 @@
     "null": "null",
     "port-digits": '{"mesh": "10.0.0.9:\u0663", "zone": "z", "region": "r"}',
     "half-pair": '{"mesh": "10.0.0.9:80", "zone": "\\ud800", "region": "r"}',
+    "interface": '{"mesh": "[fe80::1%eth0]:80", "zone": "z", "region": "r"}',
+    "interface-unreadable": (
+        '{"mesh": "[fe80::1%eth\ufffd]:80", "zone": "z", "region": "r"}'
+    ),
+    "interface-long": json.dumps(
+        {"mesh": "[fe80::1%" + "\u00fc" * 80 + "]:80", "zone": "z"}
+        | {"region": "r"}
+    ),
     "brackets": '"]}]}{[\\"]}"',
 }
 
@@ -140,7 +149,7 @@
     """Guards against a daemon that stops to follow the directory."""
     async with meshes.running() as mesh:
         mesh.publish([TRACK])
-        for name in ("port", "types", "null"):
+        for name in ("port", "types", "null", "interface-unreadable"):
             spec = json.loads(ODD_SPECS[name])
             mesh.store.put(store_module.DIRECTORY_KIND, name, spec)
         nested = []
@@ -187,3 +196,19 @@
         jsonlists.parse(text, "items")
     except ValueError:
         return
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["[fe80::1%eth\ufffd]:80", "somewhere:80", "10.0.0.9:0", "", "\ud800:1"],
+)
+async def test_a_daemon_that_tells_no_address_is_not_reached(address):
+    """Guards against a daemon that ends when it calls such a peer."""
+    settings = meshes.daemon_settings("a", "skladby", "zone-1", "127.0.0.1:1")
+    async with anyio.create_task_group() as tasks:
+        links = connection_pool.Links(settings, tasks)
+        with pytest.raises(errors.CodedError) as caught:
+            async with links.stream(address, connection_pool.SMALL_BODIES):
+                pass
+        tasks.cancel_scope.cancel()
+    assert caught.value.code == errorcodes.LINK_CONNECT
