Send no call whose body came after the drain of its upstream

Cause: the state of the upstream was checked before the call waited for a slot; it then waits for its body, one after the other at the rate of the link, and was sent whatever had happened meanwhile.

Change: the calls that wait for their bodies are kept. Those that cannot have them before the end of the drain are refused at once as not run, the others at that end (instance.drain_s). A body of unknown size has a limit of 1 MB.

--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -23,6 +23,7 @@
 from rattangauge.http import client as client_module
 from rattangauge.http import messages as http_messages
 from rattangauge.membership import heartbeats
+from rattangauge.sidecar import bodyreceptions
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import receivebudget
 from rattangauge.sidecar import upstreamhttp
@@ -55,6 +56,7 @@
         self._receive_budget = receivebudget.ReceiveBudget(
             settings.instance.link_mbps
         )
+        self._receptions = bodyreceptions.BodyReceptions(settings.instance)
         self._header_names = header_names
         self._memory = memory
         self._log = log
@@ -153,6 +155,7 @@
         self._queue.set_slots(heartbeat.slots)
         if current.is_leaving and not self._queue.is_closed:
             self._resume(self._queue.close())
+            self._receptions.drain()
 
     def _record_change(self, heartbeat: heartbeats.Heartbeat) -> None:
         self._log.record(
@@ -172,6 +175,7 @@
         """
         if not self._queue.is_closed:
             self._resume(self._queue.close())
+        self._receptions.cancel()
         self._named_rate = upstreamrate.NamedRate(heartbeat.instance)
         max_queued = MAX_QUEUED_PER_SLOT * heartbeat.slots
         self._queue = call_queue.Queue(
@@ -248,8 +252,8 @@
         """Receives the body of a call when the network link has room for it.
 
         Raises:
-            exchange.CallFailed: The body was not received completely. The call
-                did not run.
+            exchange.CallFailed: The body was not received completely, or the
+                upstream takes no more calls. The call did not run.
         """
         if request.body is None:
             return request
@@ -257,13 +261,15 @@
         if not self._memory.has_room(size):
             raise self._refuse(request, "the memory has no room for the body")
         try:
-            async with self._receive_budget.reserve(size, request.deadline):
-                return await upstreamhttp.receive_body(request)
+            with self._receptions.track(size):
+                async with self._receive_budget.reserve(size, request.deadline):
+                    return await upstreamhttp.receive_body(request)
         except TimeoutError as error:
             text = (
                 "the deadline passed before the network had room for the body"
             )
             raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
+        raise self._refuse(request, "the upstream takes no more calls")
 
     def _make_waiter(self, request: exchange.Request) -> call_queue.QueuedCall:
         call_open = request.open
--- a/rattangauge/sidecar/upstreamhttp.py
+++ b/rattangauge/sidecar/upstreamhttp.py
@@ -11,6 +11,8 @@
 from rattangauge.http import messages as http_messages
 from rattangauge.sidecar import headernames
 
+# Largest body whose size was not announced.
+MAX_UNANNOUNCED_BYTES = 1024 * 1024
 # Status of a response of another upstream that has got the address.
 WRONG_INSTANCE_STATUS = 421
 
@@ -113,15 +115,20 @@
 
 
 async def _join(pieces: AsyncIterator[bytes], size: int) -> bytes:
-    """Joins the pieces of a body of a given size.
+    """Joins the pieces of a body.
+
+    Args:
+        pieces: The pieces.
+        size: Announced size of the body, in bytes; 0 if unknown.
 
     Raises:
-        exchange.CallFailed: They are longer.
+        exchange.CallFailed: They are longer than announced.
     """
+    limit_bytes = size or MAX_UNANNOUNCED_BYTES
     body = bytearray()
     async for piece in pieces:
         body += piece
-        if len(body) > size:
-            text = f"the body is longer than the announced {size} bytes"
+        if len(body) > limit_bytes:
+            text = f"the body is longer than {limit_bytes} bytes"
             raise exchange.not_run(errorcodes.CALL_BODY_LIMIT, text)
     return bytes(body)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -306,6 +306,9 @@
         "#limits.link-mbps": "",
         "limits.link-mbps": "3.5",
         "/limits.link-mbps": "",
+        "#bounds.drain-s": "",
+        "bounds.drain-s": "3",
+        "/bounds.drain-s": "",
         "#limits.memory-mb": "",
         "limits.memory-mb": "300",
         "/limits.memory-mb": "",
@@ -330,6 +333,7 @@
     assert settings.listen.operators == "10.0.0.1:7600"
     assert settings.instance.link_mbps == 3.5
     assert settings.instance.memory_mb == 300
+    assert settings.instance.drain_s == 3
     assert settings.shutdown.limit_s == 10.0
     assert settings.platform.stable_s == 4.0
     assert settings.platform.url == "http://10.0.0.1:80"
