Drain the waiting bodies whether or not the queue is closed

Cause: a daemon that is being stopped closes its queue, and an upstream that then said that it leaves no longer ended the calls that wait for their bodies.

Change: the end of the drain is set when the upstream begins to leave. Found by reading the diff; tests/test_leaving_uploads.py and test_shutdown.py pass.

--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -153,8 +153,10 @@
         if is_new:
             self._reset_queue(heartbeat)
         self._queue.set_slots(heartbeat.slots)
-        if current.is_leaving and not self._queue.is_closed:
-            self._resume(self._queue.close())
+        was_leaving = previous is not None and previous.is_leaving
+        if current.is_leaving and (is_new or not was_leaving):
+            if not self._queue.is_closed:
+                self._resume(self._queue.close())
             self._receptions.drain()
 
     def _record_change(self, heartbeat: heartbeats.Heartbeat) -> None:
