Check each request by the limits that are in force when it begins

Cause: the limits on sizes went into the parser when the connection opened.

Change: they are set at the first byte of each request.

--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -97,6 +97,10 @@
         """Frees the memory of the message that has been received in part."""
         self._reset()
 
+    def set_limits(self, limits: MessageLimits) -> None:
+        """Sets the limits; they must not change within a message."""
+        self._limits = limits
+
     def _fail(self, status: int, reason: str) -> None:
         """Raises an error and stores it for ``_feed``.
 
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -60,6 +60,13 @@
     body_s: float = 30.0
 
 
+def _message_limits(limits: Limits) -> parsing.MessageLimits:
+    """Returns the limits of one request."""
+    return parsing.MessageLimits(
+        limits.header_bytes, limits.body_bytes, FRAMING_BYTES
+    )
+
+
 # Returns the response to a request; cancelled if the caller disconnects.
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -187,11 +194,7 @@
         limits = self._server.limits
         self._transport: Any = transport
         self._pacer = pacing.ReadPacer(transport)
-        self._reader = parsing.RequestReader(
-            parsing.MessageLimits(
-                limits.header_bytes, limits.body_bytes, FRAMING_BYTES
-            )
-        )
+        self._reader = parsing.RequestReader(_message_limits(limits))
         self._server.add(self)
         self._set_timeout(limits.idle_s)
 
@@ -244,6 +247,9 @@
 
     def _feed_reader(self, data: bytes) -> None:
         """Feeds the parser; an error is kept until earlier requests end."""
+        if not self._reader.has_begun:
+            # The limits may have changed since the last request.
+            self._reader.set_limits(_message_limits(self._server.limits))
         try:
             self._reader.feed(data, time.monotonic())
         except parsing.MessageError as error:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -200,6 +200,30 @@
     assert answer.startswith(b"HTTP/1.1 413 ")
 
 
+async def test_an_open_connection_follows_the_limits_in_force():
+    """Guards against 413 for a request that the newest limits allow."""
+    in_force = [LIMITS._replace(body_bytes=5, header_bytes=100)]
+    upload = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n"
+    padding = b"X: " + b"a" * 200 + b"\r\n"
+    async with serving(echo, lambda: in_force[0]) as (_server, connect):
+        raised, lowered = await connect(), await connect()
+        for stream in (raised, lowered):
+            await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b" 200 " in await stream.receive()
+        in_force[0] = LIMITS
+        whole = upload % 1 + b"abcdef"
+        await raised.send(whole.replace(b"Host", padding + b"Host"))
+        assert b"POST /1 6" in await raised.receive()
+        # A request that has begun keeps the limits under which it began.
+        await raised.send(upload % 2 + b"abc")
+        await anyio.sleep(0.05)
+        in_force[0] = LIMITS._replace(body_bytes=5)
+        await raised.send(b"def")
+        assert b"POST /2 6" in await raised.receive()
+        await lowered.send(upload % 3 + b"abcdef")
+        assert b" 413 " in await lowered.receive()
+
+
 async def test_an_idle_connection_is_closed():
     """Guards against idle connections that are never closed."""
     async with serving(echo) as (_server, connect):
