Report findings in the order of the fields again

Cause: since the ranges were checked in a second pass over a set of names, so that the findings of an object came in another order from run to run.

Change: one pass checks each field, by its type alone or by its value as well.

--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -123,23 +123,43 @@
     return ""
 
 
-def check_types(
+class _Fault(NamedTuple):
+    """Why a value is not accepted.
+
+    Attributes:
+        message: What is wrong.
+        code: Error code.
+    """
+
+    message: str
+    code: str
+
+
+def _type_fault(spec: FieldSpec, value: Any, codes: Codes) -> _Fault | None:
+    """Checks the type of a value."""
+    if _has_type(spec.kind, value):
+        return None
+    return _Fault(f"{show(value)} is not of type {spec.kind}", codes.type)
+
+
+def _value_fault(spec: FieldSpec, value: Any, codes: Codes) -> _Fault | None:
+    """Checks the type and the range of a value."""
+    if fault := _type_fault(spec, value, codes):
+        return fault
+    if error_text := _address_error(spec, value):
+        return _Fault(error_text, codes.address)
+    if error_text := _range_error(spec, value):
+        return _Fault(error_text, codes.range)
+    return None
+
+
+def _check(
     specs: dict[str, FieldSpec],
     table: dict[str, Any],
     codes: Codes,
     report: Callable[[str, str, str], None],
+    find_fault: Callable[[FieldSpec, Any, Codes], _Fault | None],
 ) -> dict[str, Any]:
-    """Checks the fields of a table and the types of their values.
-
-    Args:
-        specs: Specification of each field.
-        table: The values as parsed from TOML or JSON.
-        codes: Error codes to report with.
-        report: Called with field, message and code of each finding.
-
-    Returns:
-        Values with defaults filled in; fields with findings are left out.
-    """
     for name in sorted(table.keys() - specs.keys()):
         report(label(name), "the field does not exist", codes.unknown)
     values = {}
@@ -151,11 +171,10 @@
                 values[name] = spec.default
             continue
         value = table[name]
-        if _has_type(spec.kind, value):
-            values[name] = tuple(value) if isinstance(value, list) else value
+        if fault := find_fault(spec, value, codes):
+            report(name, fault.message, fault.code)
         else:
-            message = f"{show(value)} is not of type {spec.kind}"
-            report(name, message, codes.type)
+            values[name] = tuple(value) if isinstance(value, list) else value
     return values
 
 
@@ -165,18 +184,29 @@
     codes: Codes,
     report: Callable[[str, str, str], None],
 ) -> dict[str, Any]:
-    """Checks the fields of a table, and the types and ranges of their values.
+    """Checks a table and returns the values of all its fields.
+
+    Args:
+        specs: Specification of each field.
+        table: The values as parsed from TOML.
+        codes: Error codes to report with.
+        report: Called with field, message and code of each finding, in the
+            order of the specifications after the fields that do not exist.
 
-    Args and result are those of ``check_types``.
+    Returns:
+        Values with defaults filled in; fields with findings are left out.
     """
-    values = check_types(specs, table, codes, report)
-    for name in table.keys() & values.keys():
-        spec, value = specs[name], table[name]
-        if error_text := _address_error(spec, value):
-            report(name, error_text, codes.address)
-        elif error_text := _range_error(spec, value):
-            report(name, error_text, codes.range)
-        else:
-            continue
-        del values[name]
-    return values
+    return _check(specs, table, codes, report, _value_fault)
+
+
+def check_types(
+    specs: dict[str, FieldSpec],
+    table: dict[str, Any],
+    codes: Codes,
+    report: Callable[[str, str, str], None],
+) -> dict[str, Any]:
+    """Checks the fields of a table and their types, but not their ranges.
+
+    Args and result are those of ``check``.
+    """
+    return _check(specs, table, codes, report, _type_fault)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -116,3 +116,26 @@
         "two.toml: policy a: name: another policy has the name 'a', in "
         "one.toml [object.duplicate]"
     ]
+
+
+def test_findings_come_in_the_order_of_the_fields():
+    """Guards against findings whose order changes from run to run."""
+    rows = [
+        {
+            "name": "n",
+            "timeout_ms": 0,
+            "retries": "2",
+            "target_latency_ms": -1,
+            "priority": 10,
+            "hedge": 1,
+        }
+    ]
+    loaded = objects_module.read_tables({"policy": rows}, "file")
+    fields = [finding.field for finding in loaded.findings]
+    assert fields == [
+        "timeout_ms",
+        "retries",
+        "target_latency_ms",
+        "priority",
+        "hedge",
+    ]
