Derive the leaving process of the own report, correct a known failure

The daemon's own entry in the table of peers kept the process only for the report that was made in the same call; the report is made from the record of the upstream.

--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -177,11 +177,9 @@
         load = self._local_upstream.load
         own.update_load(load, time.monotonic())
         departure = self._local_upstream.last_departure
+        leaving: tuple[messages.LeavingUpstream, ...] = ()
         if departure is not None and departure.started_ms:
-            own.leaving = messages.LeavingUpstream(
-                own.member.mesh, departure.instance, departure.started_ms
-            )
-        leaving = (own.leaving,) if own.leaving is not None else ()
+            leaving = (messages.LeavingUpstream(own.member.mesh, *departure),)
         return messages.PeerNews(own.member, load, leaving=leaving)
 
     def _report_to(self, address: str) -> messages.PeerNews:
