--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=. $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: install test demo generate format bench bench-quick chaos mutations
+.PHONY: build install test demo generate format bench bench-quick chaos mutations
 
 install: $(VENV)/installed
 
@@ -15,7 +15,11 @@
 	$(VENV)/bin/python -m pip install --quiet --no-deps --editable .
 	touch $@
 
-test: install
+# The tests start the daemon as the deploy file does.
+build:
+	sh deploy/build.sh
+
+test: install build
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(RUN) tools/generate.py --check
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -18,9 +18,12 @@
 from rattangauge.generated import settings as generated
 from rattangauge.sidecar import node as node_module
 from standins import appworker
+from standins import configurations
 from standins import objectstore
 
-HOST = "shop.example"
+HOST = configurations.HOST
+path = configurations.path
+configuration = configurations.configuration
 # Rate of the network link in the settings of an instance.
 LINK_MBPS = 1000.0
 
@@ -44,45 +47,6 @@
     raise AssertionError("no port is free")
 
 
-def path(prefix, service, **fields):
-    """Returns a path of a platform configuration; fields replace defaults."""
-    values = {
-        "name": f"r-{prefix.strip('/').replace('/', '-')}",
-        "path-prefix": prefix,
-        "kind": "safe",
-        "timeout-s": 1.0,
-        "target-latency-s": 0.5,
-        "priority": 1,
-        "service": service,
-        "max-attempts": 2,
-    }
-    return {**values, **fields}
-
-
-def configuration(version, paths, services):
-    """Returns a configuration in the format of the platform."""
-    return {
-        "version": f"r{version}",
-        "services": [
-            {
-                "name": name,
-                "health-path": "/health",
-                "max-connections": 120,
-                "protocol": "h1",
-                "tls": False,
-            }
-            for name in services
-        ],
-        "limits": {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 1_000_000,
-            "header-timeout-s": 3,
-            "idle-timeout-s": 15,
-        },
-        "virtual-hosts": [{"host": HOST, "paths": paths}],
-    }
-
-
 def daemon_settings(name, service, zone, store_address, upstream_address=""):
     """Returns the settings of a daemon with addresses that are free."""
     return settings_module.Settings(
