--- a/rattangauge/errors.py
+++ b/rattangauge/errors.py
@@ -1,5 +1,6 @@
 """Errors with codes, and findings about faults of an input."""
 
+import traceback
 from typing import NamedTuple
 
 
@@ -69,3 +70,18 @@
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return error
+
+
+def describe_place(error: BaseException) -> str:
+    """Returns where an error was raised, as ``FILE:LINE FUNCTION``.
+
+    Of an exception group it is the place of its first error; empty if the error
+    was not raised.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        error = first_error(error)
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    last = frames[-1]
+    return f"{last.filename}:{last.lineno} {last.name}"
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -67,8 +67,32 @@
     )
 
 
+class Cut(NamedTuple):
+    """A connection that the server closed while its caller waited.
+
+    Attributes:
+        reason: Why it was closed.
+        running: Number of requests that were handled.
+        waiting: Number of complete requests that were not handled yet.
+        has_partial: Whether a further request had arrived in part.
+        unsent_bytes: Bytes of responses that had not been sent.
+    """
+
+    reason: str
+    running: int
+    waiting: int
+    has_partial: bool
+    unsent_bytes: int
+
+
 # Returns the response to a request; cancelled if the caller disconnects.
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+# Records a connection that was cut.
+RecordCut = Callable[[Cut], None]
+
+
+def _log_cut(cut: Cut) -> None:
+    loguru.logger.warning("connection cut: {}", cut)
 
 
 class Server:
@@ -79,6 +103,7 @@
         handler: Handler,
         limits: Callable[[], Limits] = Limits,
         memory: receivememory.ReceiveMemory | None = None,
+        record_cut: RecordCut = _log_cut,
     ) -> None:
         """Creates a server.
 
@@ -88,12 +113,15 @@
             limits: Returns the limits in force.
             memory: Memory of all messages that have been received in part; one
                 of its own by default.
+            record_cut: Records each connection that is closed while its caller
+                waits for responses.
         """
         self._handler = handler
         self._limits = limits
         self._is_closing = False
         self._connections: set[_Connection] = set()
         self._memory = memory or receivememory.ReceiveMemory()
+        self._record_cut = record_cut
 
     @property
     def limits(self) -> Limits:
@@ -115,6 +143,20 @@
         """Number of connections with a request that is not answered yet."""
         return sum(1 for c in self._connections if c.is_busy)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that wait for callers to read them."""
+        return sum(c.unsent_bytes for c in self._connections)
+
+    def record_cut(self, cut: Cut) -> None:
+        """Records a connection that was closed while its caller waited."""
+        self._record_cut(cut)
+
     def close_connections(self) -> None:
         """Starts to close each connection after its next response."""
         self._is_closing = True
@@ -140,7 +182,7 @@
         finally:
             server.close()
             for connection in list(self._connections):
-                connection.close()
+                connection.close("the server ends")
 
     def add(self, connection: "_Connection") -> None:
         """Adds a new connection."""
@@ -189,6 +231,11 @@
         has_more = self._reader.has_begun or bool(self._reader.requests)
         return bool(self._running) or has_more
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that wait for the caller to read them."""
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts reading from a caller."""
         limits = self._server.limits
@@ -228,8 +275,21 @@
         self._set_timeout(math.inf)
         self._send_responses()
 
-    def close(self) -> None:
-        """Closes the connection and cancels its requests."""
+    def close(self, reason: str) -> None:
+        """Closes the connection and cancels its requests.
+
+        Args:
+            reason: Why it is closed, for the log.
+        """
+        if self.is_busy and not self._is_ending:
+            cut = Cut(
+                reason,
+                len(self._running),
+                len(self._reader.requests),
+                self._reader.has_begun,
+                self.unsent_bytes,
+            )
+            self._server.record_cut(cut)
         self._is_ending = True
         self._tasks.cancel()
         self._transport.close()
@@ -303,7 +363,7 @@
             self._send_responses()
         except Exception:  # an error in one request must not end the daemon
             loguru.logger.exception("unexpected error in a request handler")
-            self.close()
+            self.close("unexpected error in a request handler")
         finally:
             memory.unpin(body_bytes)
 
@@ -327,7 +387,7 @@
         )
         self._write_response(response, running.request.method, keeps_alive)
         if not keeps_alive:
-            self.close()
+            self.close("the response to an earlier request closes it")
 
     def _handle_progress(self, had_begun: bool, had_headers: bool) -> None:
         """Sets the timeout after bytes arrived and sends 100 Continue if due.
@@ -395,7 +455,7 @@
             reason = "the request did not arrive in time"
             self._reject(parsing.MessageError(408, reason))
         else:
-            self.close()
+            self.close("idle")
 
     def _write_response(
         self, response: messages.Response, method: str, keeps_alive: bool
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -15,6 +15,7 @@
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.calls import shutdown as shutdown_module
+from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
@@ -114,7 +115,9 @@
             self._dispatcher.handle,
             lambda: self._dispatcher.limits,
             self._memory,
+            self._record_cut,
         )
+        self._log = log
         self._stopping = anyio.Event()
 
     async def run(self) -> None:
@@ -161,13 +164,21 @@
 
         The setting ``shutdown.limit_s`` limits the wait.
         """
+        began_at = time.monotonic()
         shutdown = shutdown_module.begin(
-            time.monotonic(), self._settings.shutdown.limit_s
+            began_at, self._settings.shutdown.limit_s
         )
         self._dispatcher.stop(shutdown)
         self._local_upstream.stop()
         self._caller_server.close_connections()
         await self._peer_exchange.announce_stop()
+        await self._wait_until_idle(shutdown)
+        self._record_stop(time.monotonic() - began_at)
+
+    async def _wait_until_idle(
+        self, shutdown: shutdown_module.Shutdown
+    ) -> None:
+        """Waits until callers have left and calls have ended, or the limit."""
         while (now := time.monotonic()) < shutdown.end_at:
             is_idle = (
                 not self._caller_server.busy_connections
@@ -182,6 +193,21 @@
             self._local_upstream.running,
         )
 
+    def _record_stop(self, elapsed_s: float) -> None:
+        """Records what a graceful shutdown leaves at its end."""
+        self._log.record(
+            logevents.StopEnded(
+                elapsed_ms=round(elapsed_s * 1000, 1),
+                connections=self._caller_server.open_connections,
+                busy=self._caller_server.busy_connections,
+                unsent_bytes=self._caller_server.unsent_bytes,
+                running=self._local_upstream.running,
+            )
+        )
+
+    def _record_cut(self, cut: server_module.Cut) -> None:
+        self._log.record(logevents.ConnectionCut(*cut))
+
     async def _handle_message(
         self, stream: connection_pool.Stream, message: messages.Message
     ) -> None:
