Let no failure of an output end a daemon

Callers saw: all daemons whose output has one reader end within a second of its going away, each request that they run is cut, and each new start ends likewise (FAULT). Cause: DecisionLog.flush expects BlockingIOError alone; any other OSError (the reader has gone, the disk is full, the descriptor is closed) leaves the task group. Beside it: O_NONBLOCK was set on the open file, which other processes share; the loggers of libraries write to standard error, which blocks; a closed descriptor 1 is the number of the next socket, which would get the lines. Change: an output that fails is like a slow reader: lines wait in a bounded buffer, the failures are counted (rattangauge_log_write_failures) and their reason is written when the output takes lines again. Lines of libraries go to the decision log.

--- a/rattangauge/decisionlog.py
+++ b/rattangauge/decisionlog.py
@@ -2,20 +2,21 @@
 
 Writes never block and the memory is bounded. Events of ordinary outcomes and
 all others have separate rate limits, so that many ordinary outcomes do not
-displace failures. If the reader is slow, lines that exceed the buffer are
-dropped and counted by event.
+displace failures. If the reader is slow or the output fails, lines that exceed
+the buffer are dropped and counted by event.
 """
 
 import collections
 from collections.abc import Callable
 import datetime
 import json
-import os
 import time
 from typing import Any
 
 import anyio
 
+from rattangauge import metrics
+from rattangauge import outputs
 from rattangauge.generated import logevents
 
 # Rate limits, in lines a second: events of ordinary outcomes, and all others.
@@ -28,10 +29,6 @@
 FLUSH_PERIOD_S = 0.25
 STDOUT = 1
 
-# Writes without blocking and returns the number of bytes that were written;
-# raises BlockingIOError if the reader takes none.
-Write = Callable[[bytes], int]
-
 
 class _TokenBucket:
     """Token bucket that limits the rate of lines."""
@@ -56,10 +53,6 @@
         return True
 
 
-def _write_stdout(data: bytes) -> int:
-    return os.write(STDOUT, data)
-
-
 class DecisionLog:
     """Buffer of lines to write, with counts of dropped lines by event."""
 
@@ -67,7 +60,7 @@
         self,
         instance: str,
         zone: str,
-        write: Write = _write_stdout,
+        write: outputs.Write,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Creates an empty log.
@@ -86,6 +79,9 @@
         self._pending: collections.deque[bytes] = collections.deque()
         self._pending_bytes = 0
         self._dropped: collections.Counter[str] = collections.Counter()
+        # Failed writes since the last one that succeeded, and the last reason.
+        self._failed_writes = 0
+        self._failure = ""
 
     @property
     def pending_bytes(self) -> int:
@@ -121,7 +117,11 @@
         self._pending_bytes += len(line)
 
     def flush(self) -> None:
-        """Writes as much as the reader accepts without blocking."""
+        """Writes as much as the reader accepts without blocking.
+
+        An output that fails ends nothing: its lines wait like those of a slow
+        reader, and the reason is written as soon as it takes lines again.
+        """
         if self._dropped:
             counts = " ".join(f"{k}={v}" for k, v in self._dropped.items())
             dropped = logevents.LinesDropped(counts)
@@ -136,11 +136,24 @@
             written = self._write(data)
         except BlockingIOError:
             return
+        except OSError as error:
+            self._failed_writes += 1
+            self._failure = str(error)
+            metrics.LOG_WRITE_FAILURES.inc()
+            return
         self._pending.clear()
         rest = data[written:]
         if rest:
             self._pending.append(rest)
         self._pending_bytes = len(rest)
+        self._record_recovery()
+
+    def _record_recovery(self) -> None:
+        """Appends why lines could not be written, if they can be again."""
+        if not self._failed_writes:
+            return
+        attempts, self._failed_writes = self._failed_writes, 0
+        self.record(logevents.LogWriteFailed(self._failure, attempts))
 
     async def run(self) -> None:
         """Flushes every ``FLUSH_PERIOD_S`` seconds until cancelled."""
@@ -150,6 +163,10 @@
 
 
 def open_stdout(instance: str, zone: str) -> DecisionLog:
-    """Opens the log on standard output and makes that non-blocking."""
-    os.set_blocking(STDOUT, False)
-    return DecisionLog(instance, zone)
+    """Opens the log on standard output.
+
+    Raises:
+        OSError: Standard output is closed.
+    """
+    write = outputs.nonblocking_writer(STDOUT)
+    return DecisionLog(instance, zone, write)
--- a/rattangauge/log.py
+++ b/rattangauge/log.py
@@ -1,6 +1,7 @@
 """Sets up the logs of the process."""
 
 import json
+import logging
 import sys
 from typing import Any
 
@@ -54,10 +55,27 @@
         logger.add(sink, level=settings.log.level, format=_text_format)
 
 
+class _ForwardingHandler(logging.Handler):
+    """Passes the records of the standard library's loggers on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs a record at its own level."""
+        try:
+            text = f"{record.name}: {record.getMessage()}"
+            exception = record.exc_info
+            logger.opt(exception=exception).log(record.levelname, text)
+        except Exception:  # the convention of logging for errors of handlers
+            self.handleError(record)
+
+
 def write_to(
     decisions: decisionlog.DecisionLog, settings: settings_module.Settings
 ) -> None:
-    """Writes the logs as messages of the decision log."""
+    """Writes the logs as messages of the decision log.
+
+    Those of libraries too: the default of these is standard error, where a
+    write blocks the event loop while nobody reads.
+    """
 
     def append_line(message: Any) -> None:
         record = message.record
@@ -68,3 +86,6 @@
 
     logger.remove()
     logger.add(append_line, level=settings.log.level, format="{message}")
+    logging.basicConfig(
+        handlers=[_ForwardingHandler()], level=logging.WARNING, force=True
+    )
--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -52,6 +52,9 @@
 MEMBERS = prometheus_client.Gauge(
     "rattangauge_members", "Members of the zone by state.", ("state",)
 )
+LOG_WRITE_FAILURES = prometheus_client.Counter(
+    "rattangauge_log_write_failures", "Writes of log lines that failed."
+)
 CONTROL_BYTES = prometheus_client.Counter(
     "rattangauge_control_bytes",
     "Bytes of control messages between daemons.",
--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -105,6 +105,30 @@
     assert pipe.lines()[0]["event"] == "call_ended"
 
 
+def test_a_failed_output_is_named_when_it_takes_lines_again():
+    """Guards against an end, or silence, because an output has failed."""
+    pipe = Pipe(10_000)
+    failing = [True]
+
+    def write(data):
+        if failing:
+            raise OSError(28, "No space left on device")
+        return pipe.write(data)
+
+    log = decisionlog.DecisionLog("a", "z", write)
+    log.record(FAILED)
+    for _ in range(3):
+        log.flush()
+    failing.clear()
+    log.flush()
+    log.flush()
+    first, second = pipe.lines()
+    assert first["event"] == "call_failed"
+    assert second["event"] == "log_write_failed"
+    assert "No space left" in second["reason"]
+    assert second["attempts"] == 3
+
+
 def test_a_real_pipe_that_nobody_reads_does_not_block():
     """Guards against a daemon that blocks on a full pipe."""
     reader, writer = os.pipe()
