Wait for the ports of a daemon in place of ending

Callers saw: after a start beside the daemon before it, which still drained, nobody served at the machine any more: the new daemon ended with 'address already in use' and the old one ended as planned (FAULT, the system did not start). Cause: each server opened its own socket and any error of that ended the daemon; a port may also be that of an outgoing connection of another process for a while. Change: net/listeners.py opens all sockets or none and tries again while an address is in use or not there yet, with a log line each 10 s; a stop ends the wait.

--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -1,6 +1,7 @@
 """Creates and runs the daemon of one instance."""
 
 from collections.abc import Callable
+import socket
 import time
 
 import anyio
@@ -24,6 +25,7 @@
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
+from rattangauge.net import listeners as listeners_module
 from rattangauge.net import meshserver
 from rattangauge.sidecar import configsync
 from rattangauge.sidecar import dispatch as dispatch_module
@@ -46,6 +48,8 @@
 ReadAnnouncement = Callable[[http_messages.Request], Announcement]
 # Reads the settings again and applies them.
 Reload = Callable[[], None]
+# Listening sockets by the address in the settings.
+Listeners = dict[str, socket.socket]
 
 
 class Node:
@@ -123,24 +127,12 @@
     async def run(self) -> None:
         """Runs the daemon until ``stop`` is called.
 
-        Returns when the calls have ended or the time limit of the shutdown has
-        passed.
+        It begins as soon as all its addresses are free. Returns when the calls
+        have ended or the time limit of the shutdown has passed.
         """
-        listen = self._settings.listen
+        listeners = await self._open_listeners()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                meshserver.serve_mesh, self._handle_message, self._settings
-            )
-            _start_server(tasks, listen.callers, self._caller_server)
-            _start_server(
-                tasks, listen.ready, self._server(self._handle_readiness)
-            )
-            _start_server(
-                tasks, listen.control, self._server(self._handle_announcement)
-            )
-            _start_server(
-                tasks, listen.operators, self._server(_handle_metrics)
-            )
+            self._start_servers(tasks, listeners)
             tasks.start_soon(self._config_sync.run)
             tasks.start_soon(self._peer_exchange.run)
             loguru.logger.info("the daemon started")
@@ -149,6 +141,59 @@
             tasks.cancel_scope.cancel()
         loguru.logger.info("the daemon stopped")
 
+    async def _open_listeners(self) -> Listeners:
+        """Waits for the daemon's addresses and listens at them.
+
+        Returns:
+            Sockets by address; none if the daemon is stopped meanwhile.
+        """
+        listen = self._settings.listen
+        addresses = [
+            address
+            for address in (
+                listen.mesh,
+                listen.callers,
+                listen.ready,
+                listen.control,
+                listen.operators,
+            )
+            if address
+        ]
+        sockets: list[socket.socket] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_at_stop, tasks.cancel_scope)
+            sockets = await listeners_module.open_all(
+                [util.parse_address(address) for address in addresses]
+            )
+            tasks.cancel_scope.cancel()
+        return dict(zip(addresses, sockets, strict=False))
+
+    async def _cancel_at_stop(self, scope: anyio.CancelScope) -> None:
+        await self._stopping.wait()
+        scope.cancel()
+
+    def _start_servers(
+        self, tasks: anyio.abc.TaskGroup, listeners: Listeners
+    ) -> None:
+        """Starts a server at each address that has a socket."""
+        listen = self._settings.listen
+        servers = {
+            listen.callers: self._caller_server,
+            listen.ready: self._server(self._handle_readiness),
+            listen.control: self._server(self._handle_announcement),
+            listen.operators: self._server(_handle_metrics),
+        }
+        for address, listener in listeners.items():
+            if address == listen.mesh:
+                tasks.start_soon(
+                    meshserver.serve_socket,
+                    listener,
+                    self._handle_message,
+                    self._settings.mesh.silence_s,
+                )
+            else:
+                tasks.start_soon(servers[address].serve, listener)
+
     def _server(self, handler: server_module.Handler) -> server_module.Server:
         """Returns a server for small requests of the platform."""
         return server_module.Server(
@@ -265,16 +310,6 @@
     )
 
 
-def _start_server(
-    tasks: anyio.abc.TaskGroup, address: str, server: server_module.Server
-) -> None:
-    """Starts a server at an address, unless the address is empty."""
-    if not address:
-        return
-    listener = util.listen(*util.parse_address(address))
-    tasks.start_soon(server.serve, listener)
-
-
 async def run(
     settings: settings_module.Settings,
     header_names: headernames.HeaderNames,
