Run each loop again after an unexpected error

Cause: all loops of the daemon run in one task group, in which an error of one ends all and the process. If a loop gets the CancelledError of a future that somebody else cancelled, its task group ends all of its tasks without any error: the daemon looks alive without its config sync or its exchange with peers, or the process ends by itself as after a stop.

Change: supervision.run runs a loop again after a growing bounded pause, logs loop_failed with loop, subject, error and place, and counts it as rattangauge_loop_failures. Cancellation passes through; a CancelledError that is no cancellation of the loop counts as a failure. The state that a failed loop leaves: the store is read anew, a configuration counts as in force only once it is applied, changes of the upstream are reported after the pause, a peer whose exchange never works is removed as one that is unreachable, a failed poll is free to start again, a failed check closes that connection alone, and a failed reload leaves the signals in force. Errors at the start stay errors.

--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -52,6 +52,11 @@
 MEMBERS = prometheus_client.Gauge(
     "rattangauge_members", "Members of the zone by state.", ("state",)
 )
+LOOP_FAILURES = prometheus_client.Counter(
+    "rattangauge_loop_failures",
+    "Unexpected errors in the loops of the daemon.",
+    ("loop",),
+)
 CONTROL_BYTES = prometheus_client.Counter(
     "rattangauge_control_bytes",
     "Bytes of control messages between daemons.",
--- a/rattangauge/net/connection_monitor.py
+++ b/rattangauge/net/connection_monitor.py
@@ -8,6 +8,7 @@
 import anyio
 
 from rattangauge import futures
+from rattangauge import supervision
 
 # Checks of a connection that is in use within the setting ``silence_s``.
 CHECKS_PER_SILENCE = 8
@@ -15,6 +16,8 @@
 # In a large fleet the exchanges between peers use most connections more often.
 IDLE_PINGS_PER_S = 5.0
 
+_LOOP = supervision.Loop("connection monitor")
+
 
 class MonitoredConnection(Protocol):
     """Operations of a connection that the monitor uses."""
@@ -42,9 +45,19 @@
         tasks: Tasks that handle the streams opened by other daemons.
     """
 
-    def __init__(self, silence_s: float) -> None:
-        """Creates a monitor without connections."""
+    def __init__(
+        self,
+        silence_s: float,
+        record: supervision.Record = supervision.log_failure,
+    ) -> None:
+        """Creates a monitor without connections.
+
+        Args:
+            silence_s: See the class.
+            record: Records unexpected errors of the checks.
+        """
         self.silence_s = silence_s
+        self._record = record
         self.tasks = futures.Tasks()
         self._connections: set[MonitoredConnection] = set()
         # Connections that each check looks at.
@@ -88,10 +101,33 @@
         """Checks the connections that are due; see ``check`` of these."""
         self._activate_due(now)
         for connection in list(self._active):
-            connection.check(now, was_paused)
-            if connection.is_quiet and connection in self._active:
-                self._active.discard(connection)
-                self._schedule(connection)
+            try:
+                self._check(connection, now, was_paused)
+            except Exception as error:  # one connection must not end all others
+                self._close_failed(connection, error)
+
+    def _check(
+        self, connection: MonitoredConnection, now: float, was_paused: bool
+    ) -> None:
+        connection.check(now, was_paused)
+        if connection.is_quiet and connection in self._active:
+            self._active.discard(connection)
+            self._schedule(connection)
+
+    def _close_failed(
+        self, connection: MonitoredConnection, error: Exception
+    ) -> None:
+        """Closes a connection that cannot be checked.
+
+        Otherwise nothing would end the calls on it if it goes silent.
+        """
+        supervision.report(self._record, _LOOP, error)
+        self._close(connection)
+        self.discard(connection)
+        self._quiet_connections.discard(connection)
+
+    def _close(self, connection: MonitoredConnection) -> None:
+        supervision.guard(self._record, _LOOP, connection.close)()
 
     def _schedule(self, connection: MonitoredConnection) -> None:
         """Schedules the next check of a connection that became quiet."""
@@ -115,22 +151,30 @@
             self._quiet_connections.discard(connection)
             if connection not in self._connections:
                 continue
-            if connection.next_check_at() > now:
-                self._schedule(connection)
-            else:
+            try:
+                is_due = connection.next_check_at() <= now
+                if not is_due:
+                    self._schedule(connection)
+            except Exception as error:  # as in ``check_all``
+                self._close_failed(connection, error)
+                continue
+            if is_due:
                 self._active.add(connection)
 
     async def run(self) -> None:
         """Checks all connections until cancelled, then closes them."""
-        period_s = self.check_period_s
         try:
-            while True:
-                sleep_began = time.monotonic()
-                await anyio.sleep(period_s)
-                now = time.monotonic()
-                was_paused = now - sleep_began > 2 * period_s
-                self.check_all(now, was_paused)
+            await supervision.run(self._record, _LOOP, self._check_repeatedly)
         finally:
-            for connection in list(self._connections):
-                connection.close()
             self.tasks.cancel()
+            for connection in list(self._connections):
+                self._close(connection)
+
+    async def _check_repeatedly(self) -> None:
+        period_s = self.check_period_s
+        while True:
+            sleep_began = time.monotonic()
+            await anyio.sleep(period_s)
+            now = time.monotonic()
+            was_paused = now - sleep_began > 2 * period_s
+            self.check_all(now, was_paused)
--- a/rattangauge/net/connection_pool.py
+++ b/rattangauge/net/connection_pool.py
@@ -11,6 +11,7 @@
 
 from rattangauge import errors
 from rattangauge import settings as settings_module
+from rattangauge import supervision
 from rattangauge import util
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
@@ -54,12 +55,21 @@
     """
 
     def __init__(
-        self, settings: settings_module.Settings, tasks: anyio.abc.TaskGroup
+        self,
+        settings: settings_module.Settings,
+        tasks: anyio.abc.TaskGroup,
+        record: supervision.Record = supervision.log_failure,
     ) -> None:
-        """Creates the pool and starts the keepalive check in the task group."""
+        """Creates the pool and starts the keepalive check in the task group.
+
+        Args:
+            settings: Settings of the daemon.
+            tasks: Task group that runs the check.
+            record: Records its unexpected errors.
+        """
         self._settings = settings
         self._monitor = connection_monitor.ConnectionMonitor(
-            settings.mesh.silence_s
+            settings.mesh.silence_s, record
         )
         tasks.start_soon(self._monitor.run)
         self._connections: dict[tuple[str, str], Connection] = {}
--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -18,6 +18,7 @@
 from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge import settings as settings_module
+from rattangauge import supervision
 from rattangauge.config import delta
 from rattangauge.config import edition as edition_module
 from rattangauge.generated import errorcodes
@@ -54,6 +55,9 @@
 # A follower that hears too few watchers begins to watch the store after this
 # time. Until then watchers that have just become its sources can answer.
 UNCONFIRMED_GRACE_S = 0.3
+_STORE_LOOP = supervision.Loop("store watch")
+_PULL_LOOP = supervision.Loop("pulls")
+
 # Applies a configuration to the daemon.
 Apply = Callable[[edition_module.Edition], None]
 
@@ -163,11 +167,14 @@
     async def run(self) -> None:
         """Keeps the configuration up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_store)
-            tasks.start_soon(self._pull_from_peers)
+            run, record = supervision.run, self._log.record
+            tasks.start_soon(run, record, _STORE_LOOP, self._watch_store)
+            tasks.start_soon(run, record, _PULL_LOOP, self._pull_from_peers)
 
     async def _watch_store(self) -> None:
         """Reads the store, then watches it, whenever this daemon must do so."""
+        # After an unexpected error the last answer may not have been applied.
+        self._restart_watch()
         failures = 0
         while True:
             if not self._must_watch():
@@ -352,19 +359,21 @@
     def _adopt(self, delivery: Delivery) -> None:
         """Applies a newer configuration."""
         edition = delivery.edition
+        before = self.version
+        # Nothing counts as in force if this fails.
+        self._apply(edition)
+        self._history.add(edition)
+        self._outdated_since = 0.0
         self._log.record(
             logevents.ConfigUsed(
                 version=edition.version,
-                before=self.version,
+                before=before,
                 source=delivery.source,
                 form=delivery.form.value,
                 versions=delivery.versions,
                 took_ms=_elapsed_ms(delivery.requested_at),
             )
         )
-        self._history.add(edition)
-        self._outdated_since = 0.0
-        self._apply(edition)
 
     async def _pull_from_peers(self) -> None:
         """Pulls a newer configuration from a peer.
@@ -420,6 +429,8 @@
         address = peer.member.mesh
         wanted = peer.member.version
         requested_at = time.monotonic()
+        # After an unexpected error another peer is asked first.
+        self._failed_source = address
         try:
             with anyio.fail_after(PULL_TIMEOUT_S):
                 delivery = await self._receive(address)
@@ -433,13 +444,12 @@
             reason = f"no whole answer in {PULL_TIMEOUT_S} s"
         else:
             if delivery is not None:
-                self._last_source, self._failed_source = address, ""
                 if delivery.edition.version > self.version:
                     self._adopt(delivery)
+                self._last_source, self._failed_source = address, ""
                 return
             code = errorcodes.CALL_NOT_READY
             reason = "the peer has no newer configuration to send"
-        self._failed_source = address
         self._log.record(
             logevents.ConfigPullFailed(
                 version=self.version,
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -13,6 +13,7 @@
 from rattangauge import process_signals
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
+from rattangauge import supervision
 from rattangauge import util
 from rattangauge.calls import shutdown as shutdown_module
 from rattangauge.generated import logevents
@@ -35,6 +36,9 @@
 # Time between two checks whether all requests have ended.
 STOP_CHECK_PERIOD_S = 0.05
 
+_LOG_LOOP = supervision.Loop("decision log")
+_RELOAD = supervision.Loop("reload at a signal")
+
 BYTES_PER_MB = 1024 * 1024
 # Limits of the requests at all addresses but that for callers.
 SMALL_REQUESTS = server_module.Limits(body_bytes=65_536)
@@ -78,7 +82,7 @@
         """
         self._settings = settings
         self._read_announcement = read_announcement
-        self._links = connection_pool.Links(settings, tasks)
+        self._links = connection_pool.Links(settings, tasks, log.record)
         self._peers = peers_module.PeerTable(_own_member(settings))
         self._memory = receivememory.ReceiveMemory(
             int(settings.instance.memory_mb * BYTES_PER_MB)
@@ -129,7 +133,10 @@
         listen = self._settings.listen
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                meshserver.serve_mesh, self._handle_message, self._settings
+                meshserver.serve_mesh,
+                self._handle_message,
+                self._settings,
+                self._log.record,
             )
             _start_server(tasks, listen.callers, self._caller_server)
             _start_server(
@@ -295,11 +302,12 @@
         reload: Reads the settings again; called at SIGHUP.
     """
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(log.run)
+        tasks.start_soon(supervision.run, log.record, _LOG_LOOP, log.run)
         node = Node(
             settings, header_names, store, read_announcement, log, tasks
         )
-        tasks.start_soon(process_signals.handle, node.stop, reload)
+        guarded = supervision.guard(log.record, _RELOAD, reload)
+        tasks.start_soon(process_signals.handle, node.stop, guarded)
         await node.run()
         tasks.cancel_scope.cancel()
     log.flush()
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -16,6 +16,7 @@
 from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge import settings as settings_module
+from rattangauge import supervision
 from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.membership import heartbeats
@@ -59,6 +60,10 @@
 DIRECTORY_PERIOD_S = 10.0
 DIRECTORY_RETRY_S = 0.3
 
+_DIRECTORY_LOOP = supervision.Loop("directory")
+_POLL_LOOP = supervision.Loop("polls")
+_CHANGE_LOOP = supervision.Loop("reports of changes")
+
 
 def exchange_period_s(min_period_s: float, peers: int) -> float:
     """Returns the time between two exchanges with one peer, in seconds.
@@ -122,7 +127,9 @@
         self._config_sync = config_sync
         self._log = log
         self._own_changed = anyio.Event()
-        self._exchanging: set[str] = set()
+        # Monotonic time at which each peer with an exchange was last reached,
+        # or the exchange was started, by address.
+        self._exchanging: dict[str, float] = {}
         self._polling: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._random = random_module.Random()
@@ -132,15 +139,23 @@
         """Exchanges state with the peers until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._follow_directory)
-            tasks.start_soon(self._poll_sources)
-            tasks.start_soon(self._report_upstream_changes)
+            for loop, function in (
+                (_DIRECTORY_LOOP, self._follow_directory),
+                (_POLL_LOOP, self._poll_sources),
+                (_CHANGE_LOOP, self._report_upstream_changes),
+            ):
+                record = self._log.record
+                tasks.start_soon(supervision.run, record, loop, function)
 
     async def _report_upstream_changes(self) -> None:
-        """Reports each change of the local upstream to all peers at once."""
+        """Reports each change of the local upstream to all peers at once.
+
+        The first report is of changes that came before, such as those after an
+        unexpected error.
+        """
         while True:
-            await self._local_upstream.wait_reported_change()
             self._refresh()
+            await self._local_upstream.wait_reported_change()
 
     def _refresh(self) -> None:
         """Reports the changed state of the daemon to all peers at once."""
@@ -233,42 +248,57 @@
             return
         if address == self._peers.own.member.mesh:
             return
-        self._exchanging.add(address)
+        self._exchanging[address] = time.monotonic()
         self._tasks.start_soon(
-            self._exchange_repeatedly, address, self._own_changed
+            supervision.run,
+            self._log.record,
+            supervision.Loop("exchange with a peer", address),
+            self._exchange_until_removed,
+            address,
+            self._own_changed,
         )
 
-    async def _exchange_repeatedly(
+    async def _exchange_until_removed(
         self, address: str, own_changed: anyio.Event
     ) -> None:
-        """Reports to one peer until it is removed from the table.
+        """Reports to one peer, then removes it from the table.
 
         Args:
             address: Mesh address of the peer.
             own_changed: Event of the next change of the own state.
         """
-        reached_at = time.monotonic()
-        await self._wait_for_first_exchange(address, own_changed)
+        # Exchanges that end with an unexpected error reach no peer.
+        if not self._is_lost(address):
+            await self._wait_for_first_exchange(address, own_changed)
+            await self._exchange_repeatedly(address)
+        self._exchanging.pop(address, None)
+        self._peers.remove(address)
+        loguru.logger.info("removed peer {} from the peer table", address)
+
+    def _is_lost(self, address: str) -> bool:
+        """Tells whether a peer has been unreachable for too long."""
+        unreached_s = time.monotonic() - self._exchanging[address]
+        return unreached_s > REMOVE_AFTER_S
+
+    async def _exchange_repeatedly(self, address: str) -> None:
+        """Reports to one peer until it is unreachable or unknown."""
         while True:
             peer = self._peers.get(address)
             if peer is None:
-                break
+                return
             own_changed = self._own_changed
             now = time.monotonic()
             if await self._exchange(address):
-                reached_at = now
+                self._exchanging[address] = now
                 pause_s = self._period_s(peer)
-            elif now - reached_at > REMOVE_AFTER_S:
-                break
+            elif self._is_lost(address):
+                return
             else:
                 failures = min(peer.failures, 6)
                 longest_s = min(MAX_RETRY_S, RETRY_S * 1.5**failures)
                 pause_s = longest_s * self._random.uniform(0.5, 1.0)
             with anyio.move_on_after(pause_s):
                 await own_changed.wait()
-        self._exchanging.discard(address)
-        self._peers.remove(address)
-        loguru.logger.info("removed peer {} from the peer table", address)
 
     async def _wait_for_first_exchange(
         self, address: str, own_changed: anyio.Event
@@ -329,8 +359,15 @@
             self._tasks.start_soon(self._poll, address)
 
     async def _poll(self, address: str) -> None:
+        loop = supervision.Loop("poll", address)
         try:
-            await self._exchange(address, SOURCE_REPLY_TIMEOUT_S)
+            await supervision.attempt(
+                self._log.record,
+                loop,
+                self._exchange,
+                address,
+                SOURCE_REPLY_TIMEOUT_S,
+            )
         finally:
             self._polling.discard(address)
 
