--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -123,6 +123,38 @@
     assert await store.list_daemons(False) == GOOD
 
 
+@pytest.mark.parametrize("spec", ['"text"', DEEP])
+async def test_a_page_that_ends_with_a_long_name_is_continued(spec):
+    """Guards against an entry whose name no URL can hold."""
+    first, second = good_items()
+    name = "10.0.0.1" + "\U0001f600" * 100_000
+    pages = [
+        page("items", [first, item(name, spec)], more=True),
+        page("items", [second], more=False),
+    ]
+    store = store_that_answers(*pages)
+    assert await store.list_daemons(False) == GOOD
+
+
+@pytest.mark.parametrize("status", [301, 302, 303, 307, 308])
+@pytest.mark.parametrize(
+    "location",
+    ["mailto:x", "http://xn--/", "http://[::1", "http://h:x/", "//[", "\ufffd"],
+)
+async def test_a_redirect_of_the_store_has_a_code(status, location):
+    """Guards against a daemon that ends, as no redirect is followed."""
+    headers = {"location": location.encode()}
+
+    def answer(_request):
+        return httpx.Response(status, headers=headers)
+
+    client = httpx.AsyncClient(
+        base_url="http://store", transport=httpx.MockTransport(answer)
+    )
+    with pytest.raises(errors.CodedError):
+        await store_module.ObjectStore(client).read_configuration()
+
+
 @pytest.mark.parametrize("odd", ["deep", "long-number"])
 async def test_an_odd_object_beside_the_configuration_is_passed_over(odd):
     """Guards against a configuration that an object beside it hides."""
