Refuse versions of a peer that a daemon cannot use, bound numbers

Cause: of a configuration that a peer sends only types and references were checked. Routes with another number of weights than services (ValueError of zip) and times of hundreds of digits (OverflowError) raised when the version was applied, in the loop that pulls from peers, and ended the daemon. The store's weights were without bound: with one of 400 digits each request of its route raised OverflowError, and 1e308 made the whole version unreadable.

--- a/rattangauge/config/check.py
+++ b/rattangauge/config/check.py
@@ -139,15 +139,19 @@
 def check_references(
     objects: objects_module.ObjectSet,
 ) -> list[errors.Finding]:
-    """Checks that each object exists to which another one refers.
+    """Checks what the use of a set relies on.
 
     Args:
         objects: The set.
 
     Returns:
-        A finding for each reference to an object that does not exist.
+        A finding for each reference to an object that does not exist, and for
+        each route whose services and weights do not belong together.
     """
-    return list(_check_references(objects, {}))
+    findings = list(_check_references(objects, {}))
+    for name, route in objects["route"].items():
+        findings += _check_split(route, f"route {name}")
+    return findings
 
 
 def check_objects(
--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -47,6 +47,9 @@
     address: str = ""
 
 
+# Greatest absolute value of an integer. A JSON text may have one that no float
+# can hold.
+MAX_INTEGER = 2**63 - 1
 # Characters of a value that a finding shows; a wrong value may have megabytes.
 MAX_SHOWN = 120
 
@@ -138,10 +141,21 @@
 def _type_fault(spec: FieldSpec, value: Any, codes: Codes) -> _Fault | None:
     """Checks the type of a value."""
     if _has_type(spec.kind, value):
-        return None
+        if _is_in_range(value):
+            return None
+        text = f"{show(value)} has an integer of more than 64 bits"
+        return _Fault(text, codes.type)
     return _Fault(f"{show(value)} is not of type {spec.kind}", codes.type)
 
 
+def _is_in_range(value: Any) -> bool:
+    """Tells whether the integers of a value can be converted to floats."""
+    parts = value if isinstance(value, list) else [value]
+    return not any(
+        isinstance(part, int) and abs(part) > MAX_INTEGER for part in parts
+    )
+
+
 def _value_fault(spec: FieldSpec, value: Any, codes: Codes) -> _Fault | None:
     """Checks the type and the range of a value."""
     if fault := _type_fault(spec, value, codes):
--- a/tests/test_readable_editions.py
+++ b/tests/test_readable_editions.py
@@ -1,6 +1,7 @@
 """What one daemon has in force, each other daemon can read (CONFIG)."""
 
 import json
+import zlib
 
 import anyio
 import hypothesis
@@ -9,8 +10,10 @@
 from rattangauge_platform import configuration
 
 from rattangauge import errors
+from rattangauge.calls import traffic_split
 from rattangauge.config import delta
 from rattangauge.config import edition as edition_module
+from rattangauge.config import objects as objects_module
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
@@ -43,6 +46,11 @@
     return "asyncio", {"use_uvloop": True}
 
 
+def short_id(value):
+    """Returns a short id of a parameter that may have many digits."""
+    return str(value)[:30]
+
+
 def convert(spec):
     """Returns the edition that a watcher of the store makes."""
     version, objects = configuration.Converter().convert(spec)
@@ -167,6 +175,63 @@
     assert caught.value.code == errorcodes.STORE_PROTOCOL
 
 
+@pytest.mark.parametrize("weight", [10**400, 10**13, 1e308], ids=short_id)
+def test_a_number_without_bound_of_the_store_can_be_used(weight):
+    """Guards against a version in force with which no request is served."""
+    parts = [
+        {"service": "skladby", "weight": weight},
+        {"service": "objednavky", "weight": 1},
+    ]
+    path = meshes.path("/new/", "skladby", **{"weighted-split": parts})
+    services = ["skladby", "objednavky"]
+    spec = meshes.configuration(2, [TRACK, path], services)
+    for field in spec["limits"]:
+        spec["limits"][field] = 10**400
+    base = convert(meshes.configuration(1, [TRACK], services))
+    edition = convert(json.loads(json.dumps(spec)))
+    assert_readable(base, edition)
+    table = routes.compile_routes(edition)
+    host = edition.objects["route"]["r-new"].host
+    target = routes.match(table, "GET", "/new/x", host)
+    split = traffic_split.TrafficSplit()
+    chosen = [split.choose("r", target.shares) for _ in range(3)]
+    assert chosen == ["skladby"] * 3
+
+
+@pytest.mark.parametrize(
+    ("kind", "fields"),
+    [
+        ("route", {"weights": [1]}),
+        ("route", {"weights": [1, 2, 3]}),
+        ("route", {"weights": [0, 0]}),
+        ("route", {"weights": [10**400, 1]}),
+        ("limits", {"header_timeout_ms": 10**400}),
+        ("limits", {"idle_timeout_ms": -(10**400)}),
+    ],
+    ids=short_id,
+)
+def test_a_version_of_a_peer_that_cannot_be_used_has_findings(kind, fields):
+    """Guards against a daemon that ends when it applies such a version."""
+    parts = [
+        {"service": "skladby", "weight": 1},
+        {"service": "objednavky", "weight": 2},
+    ]
+    path = meshes.path("/new/", "skladby", **{"weighted-split": parts})
+    spec = meshes.configuration(1, [path], ["skladby", "objednavky"])
+    base = convert(spec)
+    tables = objects_module.to_tables(base.objects)
+    tables = json.loads(json.dumps(tables))
+    tables[kind][0].update(fields)
+    data = zlib.compress(json.dumps(tables).encode())
+    digest = edition_module.digest_of(data)
+    with pytest.raises(errors.FindingsError):
+        edition_module.decode_received(2, digest, data)
+    table = {"base": "1", "changed": tables, "removed": {}}
+    data = zlib.compress(json.dumps(table).encode())
+    with pytest.raises(errors.FindingsError):
+        delta.apply_delta_by_version(base, 2, data)
+
+
 async def test_changes_too_large_for_one_message_are_sent_as_a_whole():
     """Guards against changes that no connection carries."""
     history = editionhistory.EditionHistory()
