Refuse frames that are cut off before the library reads them

Cause: the library reads the later segments of a packed message when they are needed. If the bytes end before them, its destructor throws, and the process ends by SIGABRT: exit 134, no trace in Python, no line in the log. A frame of 34 bytes at the mesh port does that to any daemon; nothing in Python can catch it.

Change: a message that announces several segments is checked first; if its bytes hold fewer words than it announces, it is frame.malformed as any other.

--- a/rattangauge/net/frames.py
+++ b/rattangauge/net/frames.py
@@ -15,6 +15,7 @@
 from rattangauge import metrics
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.net import packing
 
 MAGIC = b"RG"
 PROTOCOL_VERSION = 2
@@ -62,6 +63,9 @@
     Raises:
         errors.CodedError: The payload is malformed.
     """
+    if not packing.is_whole(payload):
+        text = "the message ends before its last segment"
+        raise errors.CodedError(errorcodes.FRAME_MALFORMED, text)
     try:
         return messages.decode(payload)
     except Exception as error:
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,5 +1,8 @@
 """Tests of the frame parser and of mesh connections with invalid bytes."""
 
+import subprocess
+import sys
+
 import anyio
 from anyio.streams import buffered
 import hypothesis
@@ -12,6 +15,7 @@
 from rattangauge.net import connection_monitor
 from rattangauge.net import connections
 from rattangauge.net import frames
+from rattangauge.net import packing
 from tests import peers
 
 FRAME_CODES = {
@@ -143,3 +147,63 @@
         monitor.add(connections.Connection(monitor))
     pings_per_s = 200 / monitor.idle_period_s
     assert pings_per_s <= connection_monitor.IDLE_PINGS_PER_S
+
+
+# Frames whose bytes end before a segment that their message announces: a
+# message of 34 bytes, and the parts of a long one.
+CUT_OFF = bytes.fromhex(
+    "010e500101110108500104000011 0d0a110d12110d1a110c0300330178037979 0002"
+)
+LONG = messages.encode(
+    1, messages.EditionPart(3, "d" * 64, False, bytes(range(256)) * 99, True)
+)
+READ_FRAMES = """
+import sys
+from rattangauge import errors
+from rattangauge.net import frames
+for line in sys.stdin:
+    try:
+        frames.unpack(bytes.fromhex(line))
+    except errors.CodedError:
+        continue
+    print("read", line)
+"""
+
+
+@pytest.mark.parametrize(
+    "payloads",
+    [
+        [CUT_OFF],
+        [LONG[: len(LONG) - 1]],
+        [LONG[:length] for length in range(0, len(LONG), 97)],
+    ],
+    ids=["short", "last-byte", "any-length"],
+)
+def test_a_message_that_is_cut_off_ends_no_process(payloads):
+    """Guards against a frame that aborts the process without a trace."""
+    lines = "\n".join(payload.hex() for payload in payloads)
+    done = subprocess.run(
+        [sys.executable, "-c", READ_FRAMES],
+        input=lines,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (done.returncode, done.stdout) == (0, "")
+
+
+@hypothesis.given(
+    strategies.binary(max_size=30_000),
+    strategies.integers(1, 200),
+    strategies.integers(1, 1000),
+)
+def test_a_whole_message_is_read_whatever_its_segments_are(
+    body, repetitions, cut
+):
+    """Guards against messages that count as cut off and are not."""
+    body = (body * repetitions)[: frames.MAX_FRAME_BYTES // 4]
+    message = messages.EditionPart(3, "d" * 64, False, body, True)
+    packed = messages.encode(1, message)
+    assert frames.unpack(packed) == (1, message)
+    if packed[0] & 0x0F:
+        assert not packing.is_whole(packed[: max(1, len(packed) - cut)])
