Log errors without the values of local variables

Cause: loguru formats the local variables of a trace by default, also for a sink that only writes the message. The text of a malformed message between daemons cannot be formed: the library throws where that ends the process by SIGABRT. A peer that opens a call with a body and then sends such a message makes the handler of the call fail with that error; its log line ended the daemon.

Change: no sink formats local variables or frames beyond the one that caught the error.

Seen first in a probe with odd messages of peers.

--- a/rattangauge/log.py
+++ b/rattangauge/log.py
@@ -15,6 +15,9 @@
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[zone]}"
     "/{extra[instance]} {message} {extra[fields]}"
 )
+# Without the values of local variables: the text of a malformed message between
+# daemons cannot be formed, and the attempt aborts the process.
+_EXCEPTIONS: Any = {"diagnose": False, "backtrace": False}
 
 
 def _text_format(record: Any) -> str:
@@ -49,9 +52,14 @@
         }
     )
     if settings.log.json:
-        logger.add(sink, level=settings.log.level)
+        logger.add(sink, level=settings.log.level, **_EXCEPTIONS)
     else:
-        logger.add(sink, level=settings.log.level, format=_text_format)
+        logger.add(
+            sink,
+            level=settings.log.level,
+            format=_text_format,
+            **_EXCEPTIONS,
+        )
 
 
 def write_to(
@@ -67,4 +75,9 @@
         decisions.message(record["level"].name, text)
 
     logger.remove()
-    logger.add(append_line, level=settings.log.level, format="{message}")
+    logger.add(
+        append_line,
+        level=settings.log.level,
+        format="{message}",
+        **_EXCEPTIONS,
+    )
