Encode a request before a connection to the upstream is opened

Cause: a call of a peer whose method or path no HTTP request can express raised UnicodeEncodeError after a connection had been opened; the clean-up asserted that the request had been sent, so an AssertionError replaced it and the connection stayed open.

Change: such a request is not sent, and says so; the call did not run.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -238,16 +238,21 @@
                 of ``time.monotonic``, in seconds.
 
         Raises:
-            NotSentError: No connection could be opened.
+            NotSentError: No connection could be opened, or the request has
+                characters that HTTP cannot express.
             NoResponseError: No complete response was received.
             TimeoutError: No response was received by the deadline.
         """
+        try:
+            data = messages.encode_request(request)
+        except UnicodeEncodeError as error:
+            raise NotSentError(str(error)) from error
         # Only an identity tells the response of a reused connection.
         may_reuse = bool(request.header(self._id_header))
         connection = await self._connect(may_reuse)
         response = None
         try:
-            connection.send(messages.encode_request(request))
+            connection.send(data)
             response = await self._receive(connection, request, deadline)
         finally:
             is_reusable = connection.finish()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -80,6 +80,18 @@
         assert len(accepted) == 1
 
 
+@pytest.mark.parametrize("field", ["method", "target"])
+async def test_a_request_that_cannot_be_encoded_is_not_sent(field):
+    """Guards against a connection that such a request of a peer leaves open."""
+    async with scripted(answer_each) as (client, accepted):
+        odd = request()._replace(**{field: "/\u0161"})
+        for _ in range(3):
+            with pytest.raises(client_module.NotSentError):
+                await client.exchange(odd)
+        assert not accepted
+        assert (await client.exchange(request())).body == b"ok"
+
+
 async def test_a_response_to_another_request_is_skipped():
     """Guards against a caller that receives another caller's answer."""
 
