Record errors of callbacks, go on with a stop whose announcement fails

Cause: errors in callbacks, timers and tasks that nobody awaits went to standard error alone, which the platform need not keep: the log and the metrics said nothing of them. An unexpected error while peers are told of a stop ended the daemon at once, with the calls that ran.

Change: the event loop's errors are loop_failed of the loop "event loop", those of connections a message; the announcement of a stop is attempted, and the stop goes on. The subject of loop_failed is of bounded length: a peer tells its address itself.

Measured: the test of the announcement fails without the change in node.py and passes with it; the one of the callbacks tests a new function.

--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -38,6 +38,7 @@
 
 _LOG_LOOP = supervision.Loop("decision log")
 _RELOAD = supervision.Loop("reload at a signal")
+_STOP = supervision.Loop("announcement of the stop")
 
 BYTES_PER_MB = 1024 * 1024
 # Limits of the requests at all addresses but that for callers.
@@ -178,7 +179,8 @@
         self._dispatcher.stop(shutdown)
         self._local_upstream.stop()
         self._caller_server.close_connections()
-        await self._peer_exchange.announce_stop()
+        announce = self._peer_exchange.announce_stop
+        await supervision.attempt(self._log.record, _STOP, announce)
         await self._wait_until_idle(shutdown)
         self._record_stop(time.monotonic() - began_at)
 
@@ -302,6 +304,7 @@
         reload: Reads the settings again; called at SIGHUP.
     """
     async with anyio.create_task_group() as tasks:
+        supervision.watch_callbacks(log.record)
         tasks.start_soon(supervision.run, log.record, _LOG_LOOP, log.run)
         node = Node(
             settings, header_names, store, read_announcement, log, tasks
--- a/rattangauge/supervision.py
+++ b/rattangauge/supervision.py
@@ -98,7 +98,7 @@
     record(
         logevents.LoopFailed(
             loop=loop.name,
-            subject=loop.subject,
+            subject=loop.subject[:MAX_ERROR_CHARACTERS],
             error=repr(first)[:MAX_ERROR_CHARACTERS],
             place=errors.describe_place(raised),
             failures=failures,
@@ -171,6 +171,29 @@
     return call
 
 
+def watch_callbacks(record: Record) -> None:
+    """Reports unexpected errors in callbacks and in tasks that nobody awaits.
+
+    The event loop goes on after them, and would write them to standard error.
+    It also tells of connections that fail; these are logged as messages.
+
+    Args:
+        record: Records each failure.
+    """
+
+    def handle(
+        _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        text = str(context.get("message", ""))[:MAX_ERROR_CHARACTERS]
+        error = context.get("exception")
+        if isinstance(error, Exception) and not isinstance(error, OSError):
+            report(record, Loop("event loop", text), error)
+        else:
+            loguru.logger.warning("event loop: {} {!r}", text, error)
+
+    asyncio.get_running_loop().set_exception_handler(handle)
+
+
 async def _call(
     function: Callable[..., Awaitable[object]], args: tuple[Any, ...]
 ) -> None:
--- a/tests/test_loop_failures.py
+++ b/tests/test_loop_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import gc
 import os
 import signal
 
@@ -13,6 +14,7 @@
 from rattangauge_platform import store as store_module
 
 from rattangauge import decisionlog
+from rattangauge import futures
 from rattangauge import metrics
 from rattangauge import supervision
 from rattangauge.net import connection_monitor
@@ -381,3 +383,50 @@
     assert [failure.failures for failure in failures] == list(range(1, 10))
     pauses = [failure.pause_s for failure in failures]
     assert max(pauses) <= 0.01 and min(pauses[5:]) >= 0.005 > pauses[0]
+
+
+async def test_an_error_of_the_announcement_cuts_no_call_off(monkeypatch):
+    """Guards against a stop that ends the calls that run."""
+    async with meshes.running() as mesh:
+        await mesh.start_instances([TRACK], "a", work_s=0.5)
+        instance = mesh.instances["a"]
+        exchange = instance.node._peer_exchange
+        caller = await mesh.connect("a")
+        await caller.send("/track/1", "GET", b"")
+        await anyio.sleep(0.2)
+        Failures(monkeypatch, exchange, "_refresh", [RuntimeError])
+        instance.node.stop()
+        with anyio.fail_after(3):
+            status, _, _ = await caller.receive()
+        assert status == 200
+        assert len(loop_failures(instance)) == 1
+
+
+async def test_errors_that_nobody_awaits_are_recorded():
+    """Guards against errors of callbacks and tasks that no log names."""
+    failures = []
+    supervision.watch_callbacks(failures.append)
+
+    def fail_in_callback():
+        raise RuntimeError("of a callback")
+
+    async def fail_in_task():
+        raise RuntimeError("of a task")
+
+    async def lose_connection():
+        raise ConnectionError("of a connection")
+
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.01, fail_in_callback)
+    tasks = futures.Tasks()
+    tasks.start(fail_in_task())
+    tasks.start(lose_connection())
+    await anyio.sleep(0.05)
+    gc.collect()
+    await anyio.sleep(0.05)
+    texts = sorted(failure.error for failure in failures)
+    assert texts == [
+        "RuntimeError('of a callback')",
+        "RuntimeError('of a task')",
+    ]
+    assert all(failure.loop == "event loop" for failure in failures)
