--- a/rattangauge/log.py
+++ b/rattangauge/log.py
@@ -16,6 +16,9 @@
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[zone]}"
     "/{extra[instance]} {message} {extra[fields]}"
 )
+# Without the values of local variables: the text of a malformed message between
+# daemons cannot be formed, and the attempt aborts the process.
+_EXCEPTIONS: Any = {"diagnose": False, "backtrace": False}
 
 
 def _text_format(record: Any) -> str:
@@ -50,9 +53,14 @@
         }
     )
     if settings.log.json:
-        logger.add(sink, level=settings.log.level)
+        logger.add(sink, level=settings.log.level, **_EXCEPTIONS)
     else:
-        logger.add(sink, level=settings.log.level, format=_text_format)
+        logger.add(
+            sink,
+            level=settings.log.level,
+            format=_text_format,
+            **_EXCEPTIONS,
+        )
 
 
 class _ForwardingHandler(logging.Handler):
@@ -85,7 +93,12 @@
         decisions.message(record["level"].name, text)
 
     logger.remove()
-    logger.add(append_line, level=settings.log.level, format="{message}")
+    logger.add(
+        append_line,
+        level=settings.log.level,
+        format="{message}",
+        **_EXCEPTIONS,
+    )
     logging.basicConfig(
         handlers=[_ForwardingHandler()], level=logging.WARNING, force=True
     )
