Linger after each last answer so that no reset takes it

Cause: a connection was closed at once after an answer with Connection: close. Bytes that the caller sent by then, or sends later, turn the close into a reset (RFC 9112, section 9.6), which may take the answer. Only error responses lingered, by a timer of their own.

Change: one lingering close for last answers, error responses and idle connections: half-close, discard what arrives, close when the caller closes or after 0.5 s. It uses the timer of the connection, at most 256 connections linger, and an answer that nobody reads is cut after SEND_TIMEOUT_S also when its buffer is nearly empty (there was no timer for that).

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -33,10 +33,13 @@
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 # A connection is aborted if the caller reads no response for this time.
 SEND_TIMEOUT_S = 10.0
-# After an error response the connection stays open for this time and the rest
-# of the request is discarded. If it was closed at once, the caller could get a
-# reset instead of the response.
+# After the last response a connection is closed for sending only. What still
+# arrives is discarded for this time or until the caller closes it. If it was
+# closed at once, the caller could get a reset instead of the response (RFC
+# 9112, section 9.6).
 LINGER_S = 0.5
+# Connections that linger at a time; beyond it the earliest are closed.
+MAX_LINGERING = 256
 # Limit of a request beside its headers and body. A caller may send a body of
 # 800 kB in chunks of one byte.
 FRAMING_BYTES = 4 * 1024 * 1024
@@ -120,6 +123,8 @@
         self._limits = limits
         self._is_closing = False
         self._connections: set[_Connection] = set()
+        # Those that linger, in the order in which they began to.
+        self._lingering: dict[_Connection, None] = {}
         self._memory = memory or receivememory.ReceiveMemory()
         self._record_cut = record_cut
 
@@ -188,9 +193,18 @@
         """Adds a new connection."""
         self._connections.add(connection)
 
+    def add_lingering(self, connection: "_Connection") -> None:
+        """Adds a connection that lingers; the earliest may have to end."""
+        self._lingering[connection] = None
+        if len(self._lingering) > MAX_LINGERING:
+            earliest = next(iter(self._lingering))
+            del self._lingering[earliest]
+            earliest.end_linger()
+
     def discard(self, connection: "_Connection") -> None:
         """Removes a connection that has ended."""
         self._connections.discard(connection)
+        self._lingering.pop(connection, None)
 
 
 class _RunningRequest:
@@ -220,6 +234,10 @@
         self._error: parsing.MessageError | None = None
         self._is_paused = False
         self._is_ending = False
+        # Bytes of responses that were left when the timer of a lingering
+        # connection last ended, and the time since which they are.
+        self._linger_unsent_bytes = 0
+        self._linger_unsent_at = 0.0
         self._has_sent_continue = False
         self._timeout_at = math.inf
         self._timer: asyncio.TimerHandle | None = None
@@ -248,6 +266,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests in them."""
         if self._error is not None or self._is_ending:
+            self._pacer.record_read(len(data))
             return
         had_begun = self._reader.has_begun
         had_headers = self._reader.has_headers
@@ -267,13 +286,15 @@
     def pause_writing(self) -> None:
         """Stops sending while the send buffer is full."""
         self._is_paused = True
-        self._set_timeout(SEND_TIMEOUT_S)
+        if not self._is_ending:
+            self._set_timeout(SEND_TIMEOUT_S)
 
     def resume_writing(self) -> None:
         """Sends the responses that were held back."""
         self._is_paused = False
-        self._set_timeout(math.inf)
-        self._send_responses()
+        if not self._is_ending:
+            self._set_timeout(math.inf)
+            self._send_responses()
 
     def close(self, reason: str) -> None:
         """Closes the connection and cancels its requests.
@@ -387,7 +408,7 @@
         )
         self._write_response(response, running.request.method, keeps_alive)
         if not keeps_alive:
-            self.close("the response to an earlier request closes it")
+            self._linger()
 
     def _handle_progress(self, had_begun: bool, had_headers: bool) -> None:
         """Sets the timeout after bytes arrived and sends 100 Continue if due.
@@ -444,18 +465,17 @@
         if remaining_s > 0.0:
             if remaining_s < math.inf:
                 self._start_timer(remaining_s)
+        elif self._is_ending:
+            self._handle_linger_timer()
         elif self._is_paused:
-            loguru.logger.warning(
-                "connection aborted: the caller does not read its response"
-            )
-            self._transport.abort()
+            self._abort_unread()
         elif self._running:
             self._set_read_timeout()
         elif self._reader.has_begun:
             reason = "the request did not arrive in time"
             self._reject(parsing.MessageError(408, reason))
         else:
-            self.close("idle")
+            self._linger()
 
     def _write_response(
         self, response: messages.Response, method: str, keeps_alive: bool
@@ -487,9 +507,52 @@
         """Sends an error response and closes the connection."""
         loguru.logger.warning("request rejected: {}", error)
         self._error = error
-        self._is_ending = True
         self._write_response(messages.Response(error.status), "GET", False)
-        if self._transport.can_write_eof() and not self._transport.is_closing():
+        self._linger()
+
+    def _linger(self) -> None:
+        """Ends the sending and closes the connection after ``LINGER_S``.
+
+        It is closed earlier when the caller closes it, and later if responses
+        have not been sent by then.
+        """
+        self._is_ending = True
+        self._running.clear()
+        self._tasks.cancel()
+        self._reader.discard()
+        self._reader.requests.clear()
+        self._update_memory()
+        if self._transport.is_closing():
+            return
+        self._pacer.hold(False)
+        self._server.add_lingering(self)
+        self._set_timeout(LINGER_S)
+        try:
             self._transport.write_eof()
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_S, self._transport.close)
+        except OSError as error:  # asyncio reports the caller's reset here
+            loguru.logger.info("a caller reset its connection: {}", error)
+            self._transport.abort()
+
+    def end_linger(self) -> None:
+        """Closes a lingering connection once its responses have been sent."""
+        self._transport.close()
+
+    def _handle_linger_timer(self) -> None:
+        """Closes a lingering connection unless responses are being sent."""
+        left_bytes, now = self.unsent_bytes, time.monotonic()
+        if not left_bytes and not self._linger_unsent_bytes:
+            self.end_linger()
+            return
+        if left_bytes != self._linger_unsent_bytes:
+            self._linger_unsent_at = now
+        elif now - self._linger_unsent_at >= SEND_TIMEOUT_S:
+            self._abort_unread()
+            return
+        self._linger_unsent_bytes = left_bytes
+        self._set_timeout(LINGER_S)
+
+    def _abort_unread(self) -> None:
+        loguru.logger.warning(
+            "connection aborted: the caller does not read its response"
+        )
+        self._transport.abort()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,8 +1,11 @@
 """HTTP server with callers that send given bytes."""
 
 import contextlib
+import socket
+import struct
 
 import anyio
+import anyio.abc
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -260,6 +263,88 @@
         assert b"connection: close" in answer
 
 
+CLOSING = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [10, 8_000_000])
+async def test_bytes_after_the_last_response_do_not_take_it(size):
+    """Guards against a reset that overtakes the last response (RFC 9112)."""
+
+    async def answer(_request):
+        return messages.Response(200, (), b"x" * size)
+
+    async with serving(answer) as (_server, connect):
+        stream = await connect()
+        await stream.send(CLOSING)
+        for _ in range(5):
+            await anyio.sleep(0.02)
+            await stream.send(b"GET /more HTTP/1.1\r\nHost: a\r\n\r\n")
+        _head, _, body = (await read_all(stream)).partition(b"\r\n\r\n")
+        assert body == b"x" * size
+
+
+async def test_a_connection_ends_when_its_caller_closes_it():
+    """Guards against connections that stay open after their last use."""
+    async with serving(echo) as (server, connect):
+        for _ in range(20):
+            stream = await connect()
+            await stream.send(CLOSING)
+            assert b" 200 " in await stream.receive()
+            await stream.aclose()
+        await anyio.sleep(0.1)
+        assert server.open_connections == 0
+
+
+async def test_callers_that_never_close_leave_few_connections(monkeypatch):
+    """Guards against connections without number after their last response."""
+    monkeypatch.setattr(server_module, "MAX_LINGERING", 2)
+    async with serving(echo) as (server, connect):
+        streams = [await connect() for _ in range(6)]
+        for stream in streams:
+            await stream.send(CLOSING)
+            assert b" 200 " in await stream.receive()
+        await anyio.sleep(0.1)
+        assert server.open_connections == 2
+        await anyio.sleep(server_module.LINGER_S + 0.1)
+        assert server.open_connections == 0
+        for stream in streams:
+            await stream.aclose()
+
+
+async def test_a_caller_that_stops_reading_a_last_response_is_cut(monkeypatch):
+    """Guards against responses that nobody reads and that are never freed."""
+    monkeypatch.setattr(server_module, "SEND_TIMEOUT_S", 0.6)
+
+    async def answer(_request):
+        return messages.Response(200, (), b"x" * 16_000_000)
+
+    async with serving(answer) as (server, connect):
+        stream = await connect()
+        await stream.send(CLOSING)
+        await anyio.sleep(0.2)
+        assert server.unsent_bytes > 0
+        await anyio.sleep(2.5)
+        assert server.open_connections == 0
+        await stream.aclose()
+
+
+async def test_a_caller_that_resets_its_connection_is_no_error(caplog):
+    """Guards against errors of the event loop when callers vanish."""
+    async with serving(echo) as (server, connect):
+        for number in range(40):
+            stream = await connect()
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            await stream.send(CLOSING)
+            await anyio.sleep(number * 0.00005)
+            await stream.aclose()
+        await anyio.sleep(0.1)
+        assert server.open_connections == 0
+    assert not caplog.records
+
+
 async def test_held_bodies_are_counted_while_they_arrive():
     """Guards against incomplete bodies that use up the memory uncounted."""
     async with serving(echo) as (server, connect):
