Answer all requests that run before a stop closes their connection

Cause: the first answer after the signal closed the connection, and the safe requests that were sent ahead and already ran behind it were cancelled.

Change: a closing server answers all requests of a connection that have started, in order, and the last answer has Connection: close. No request starts behind them then, nor behind one whose own caller said Connection: close.

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -140,7 +140,7 @@
 
     @property
     def is_closing(self) -> bool:
-        """Whether connections are closed after their next response."""
+        """Whether each connection is closed once its requests have ended."""
         return self._is_closing
 
     @property
@@ -163,7 +163,10 @@
         self._record_cut(cut)
 
     def close_connections(self) -> None:
-        """Starts to close each connection after its next response."""
+        """Starts to close each connection once its requests have ended.
+
+        Requests that run are answered; none is started behind them.
+        """
         self._is_closing = True
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -368,10 +371,14 @@
 
         If a response closes the connection, the caller repeats all requests
         after it. A request that changes something must therefore not start
-        before all earlier responses have been sent: it could run twice.
+        before all earlier responses have been sent: it could run twice. None
+        starts behind one whose response will close the connection.
         """
         if not self._running:
             return True
+        is_last = not self._running[-1].request.keeps_alive
+        if is_last or self._server.is_closing:
+            return False
         methods = {request.method, self._running[-1].request.method}
         return methods <= SAFE_METHODS and len(self._running) < MAX_CONCURRENT
 
@@ -403,9 +410,9 @@
     def _send_response(
         self, running: _RunningRequest, response: messages.Response
     ) -> None:
-        keeps_alive = (
-            running.request.keeps_alive and not self._server.is_closing
-        )
+        # A closing server closes after the last of the requests that run.
+        is_closing = self._server.is_closing and not self._running
+        keeps_alive = running.request.keeps_alive and not is_closing
         self._write_response(response, running.request.method, keeps_alive)
         if not keeps_alive:
             self._linger()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -263,6 +263,56 @@
         assert b"connection: close" in answer
 
 
+async def test_requests_that_run_are_answered_when_the_server_closes():
+    """Guards against requests that run and are lost to an earlier answer."""
+    started = []
+
+    async def slow(request):
+        started.append(request.target)
+        await anyio.sleep(0.1 if request.target != "/2" else 0.2)
+        return await echo(request)
+
+    ahead = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+    async with serving(slow) as (server, connect):
+        stream = await connect()
+        await stream.send(b"".join(ahead % number for number in (1, 2, 3)))
+        await anyio.sleep(0.05)
+        server.close_connections()
+        await stream.send(ahead % 4 + ahead % 5)
+        answer = (await read_all(stream)).lower()
+    assert started == ["/1", "/2", "/3"]
+    positions = [answer.index(b"get /%d 0" % number) for number in (1, 2, 3)]
+    assert positions == sorted(positions)
+    assert answer.count(b"http/1.1 200 ") == 3
+    assert answer.count(b"connection: close") == 1
+    assert answer.index(b"connection: close") > positions[1]
+
+
+@pytest.mark.parametrize("is_closing", [True, False])
+async def test_nothing_starts_behind_the_last_request(is_closing):
+    """Guards against requests that run and cannot be answered."""
+    started = []
+
+    async def slow(request):
+        started.append(request.target)
+        await anyio.sleep(0.05)
+        return await echo(request)
+
+    last = b"" if is_closing else b"Connection: close\r\n"
+    async with serving(slow) as (server, connect):
+        stream = await connect()
+        if is_closing:
+            server.close_connections()
+        await stream.send(
+            b"GET /1 HTTP/1.1\r\nHost: a\r\n%s\r\n" % last
+            + b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        answer = (await read_all(stream)).lower()
+    assert started == ["/1"]
+    assert answer.count(b"http/1.1 200 ") == 1
+    assert answer.count(b"connection: close") == 1
+
+
 CLOSING = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
