Wait at a stop for the bytes of answers that have not left the daemon

Cause: a stop waited for requests only; an answer in the buffer of a connection whose caller reads slowly was cut when the process ended.

Change: a connection is busy until its answers have left the buffer; the stop waits for it as for a request, until the end of its time. connection_cut names such a connection too.

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -145,7 +145,10 @@
 
     @property
     def busy_connections(self) -> int:
-        """Number of connections with a request that is not answered yet."""
+        """Number of connections with a request without its whole answer.
+
+        Bytes of an answer that wait for the caller to read them count as well.
+        """
         return sum(1 for c in self._connections if c.is_busy)
 
     @property
@@ -248,9 +251,9 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request has begun to arrive and is not answered yet."""
+        """Whether a request has begun to arrive and is not answered wholly."""
         has_more = self._reader.has_begun or bool(self._reader.requests)
-        return bool(self._running) or has_more
+        return bool(self._running) or has_more or self.unsent_bytes > 0
 
     @property
     def unsent_bytes(self) -> int:
@@ -305,7 +308,7 @@
         Args:
             reason: Why it is closed, for the log.
         """
-        if self.is_busy and not self._is_ending:
+        if self.is_busy and not self._transport.is_closing():
             cut = Cut(
                 reason,
                 len(self._running),
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -316,6 +316,27 @@
 CLOSING = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
+async def test_a_connection_is_busy_until_its_answer_has_been_sent():
+    """Guards against a stop that cuts answers in the buffers."""
+
+    async def answer(_request):
+        return messages.Response(200, (), b"x" * 16_000_000)
+
+    async with serving(answer) as (server, connect):
+        for head in (CLOSING, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"):
+            stream = await connect()
+            await stream.send(head)
+            await anyio.sleep(0.2)
+            assert server.busy_connections == 1
+            received = 0
+            with anyio.fail_after(3):
+                while received < 16_000_000:
+                    received += len(await stream.receive())
+            await anyio.sleep(0.05)
+            assert server.busy_connections == 0
+            await stream.aclose()
+
+
 @pytest.mark.parametrize("size", [10, 8_000_000])
 async def test_bytes_after_the_last_response_do_not_take_it(size):
     """Guards against a reset that overtakes the last response (RFC 9112)."""
