End a stop in order: close the port, answer what was sent, close the rest

Cause: at a moment without a request the daemon went on to its end with its ports open. Connections that callers opened meanwhile, or that waited in the kernel's queue, were reset; requests that arrived after the check were cut.

Change: Server.end accepts what waits in the kernel's queue, closes the port while the loop goes on (http/acceptor.py), answers the requests of the open connections, waits up to 0.2 s for the first request of new ones, and closes the idle ones last: half-close, 0.05 s for what crosses, close. Nothing that was accepted is cut before Shutdown.end_at; the port closes at the latest 0.5 s before it, so that the last requests are answered. The ports of the platform and the upstream end in the same way after that of the callers.

What stays: a request that crosses the close of a connection that has been idle since the signal gets an end without an answer, as HTTP/1.1 has no means against it; connection_cut names it.

--- a/rattangauge/calls/shutdown.py
+++ b/rattangauge/calls/shutdown.py
@@ -15,6 +15,9 @@
 # Time before the limit at which the daemon ends, so that answers and log lines
 # still leave it.
 EXIT_MARGIN_S = 0.5
+# Time before the end at which the daemon accepts no more connections, so that
+# the requests of those that it has accepted are answered.
+LAST_ANSWERS_S = 0.5
 
 
 class Shutdown(NamedTuple):
@@ -22,10 +25,12 @@
 
     Attributes:
         notice_until: Time until which all calls are started.
+        listen_until: Time until which connections are accepted at the longest.
         end_at: Time at which the daemon ends.
     """
 
     notice_until: float
+    listen_until: float
     end_at: float
 
 
@@ -36,13 +41,15 @@
         now: Monotonic time in seconds.
         limit_s: Time after which the platform ends the process, in seconds.
 
-    >>> begin(100.0, 6.0), begin(100.0, 3.0)
-    (Shutdown(notice_until=102.5, end_at=105.5), \
-Shutdown(notice_until=101.5, end_at=102.5))
+    >>> begin(100.0, 6.0)
+    Shutdown(notice_until=102.5, listen_until=105.0, end_at=105.5)
+    >>> begin(100.0, 3.0)
+    Shutdown(notice_until=101.5, listen_until=102.0, end_at=102.5)
     """
     notice_s = min(NOTICE_S, MAX_NOTICE_SHARE * limit_s)
     running_s = max(notice_s, limit_s - EXIT_MARGIN_S)
-    return Shutdown(now + notice_s, now + running_s)
+    listen_s = max(notice_s, running_s - LAST_ANSWERS_S)
+    return Shutdown(now + notice_s, now + listen_s, now + running_s)
 
 
 def may_start(shutdown: Shutdown, now: float, deadline: float) -> bool:
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -20,7 +20,7 @@
 
 from rattangauge import futures
 from rattangauge import receivememory
-from rattangauge import util
+from rattangauge.http import acceptor
 from rattangauge.http import messages
 from rattangauge.http import pacing
 from rattangauge.http import parsing
@@ -40,6 +40,15 @@
 LINGER_S = 0.5
 # Connections that linger at a time; beyond it the earliest are closed.
 MAX_LINGERING = 256
+# Time in which a new connection brings its first request. A server that ends
+# waits for it.
+FIRST_REQUEST_S = 0.2
+# Time between two checks whether a server that ends may close its connections.
+END_CHECK_PERIOD_S = 0.01
+# Time for which a server that ends reads an idle connection after its own end
+# of it. A request that crosses this gets no answer, as HTTP/1.1 has no means
+# against it.
+CROSSING_S = 0.05
 # Limit of a request beside its headers and body. A caller may send a body of
 # 800 kB in chunks of one byte.
 FRAMING_BYTES = 4 * 1024 * 1024
@@ -127,6 +136,7 @@
         self._lingering: dict[_Connection, None] = {}
         self._memory = memory or receivememory.ReceiveMemory()
         self._record_cut = record_cut
+        self._acceptor = acceptor.Acceptor(lambda: _Connection(self))
 
     @property
     def limits(self) -> Limits:
@@ -182,19 +192,38 @@
         Args:
             listener: A socket from ``util.listen``; it is closed at the end.
         """
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: _Connection(self),
-            sock=listener,
-            backlog=util.LISTEN_BACKLOG,
-        )
+        await self._acceptor.start(listener)
         try:
             await anyio.sleep_forever()
         finally:
-            server.close()
+            self._acceptor.close()
             for connection in list(self._connections):
                 connection.close("the server ends")
 
+    async def end(self, end_at: float) -> None:
+        """Closes the listener, answers what was sent and closes the rest.
+
+        Args:
+            end_at: Time at which it returns at the latest, on the clock of
+                ``time.monotonic``, in seconds.
+        """
+        self.close_connections()
+        await self._acceptor.stop()
+        await self._wait_until(self._is_idle, end_at)
+        for connection in list(self._connections):
+            connection.close_idle(CROSSING_S)
+        await self._wait_until(lambda: not self._connections, end_at)
+
+    async def _wait_until(
+        self, condition: Callable[[], bool], end_at: float
+    ) -> None:
+        while not condition() and time.monotonic() < end_at:
+            await anyio.sleep(END_CHECK_PERIOD_S)
+
+    def _is_idle(self) -> bool:
+        """Tells whether no request is expected or without its answer."""
+        return not any(c.is_busy or c.is_new for c in self._connections)
+
     def add(self, connection: "_Connection") -> None:
         """Adds a new connection."""
         self._connections.add(connection)
@@ -240,6 +269,10 @@
         self._error: parsing.MessageError | None = None
         self._is_paused = False
         self._is_ending = False
+        self._opened_at = time.monotonic()
+        self._has_received = False
+        # Whether it was closed while no request was expected.
+        self._was_idle = False
         # Bytes of responses that were left when the timer of a lingering
         # connection last ended, and the time since which they are.
         self._linger_unsent_bytes = 0
@@ -255,6 +288,12 @@
         has_more = self._reader.has_begun or bool(self._reader.requests)
         return bool(self._running) or has_more or self.unsent_bytes > 0
 
+    @property
+    def is_new(self) -> bool:
+        """Whether its first request may be under way."""
+        age_s = time.monotonic() - self._opened_at
+        return not self._has_received and age_s < FIRST_REQUEST_S
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that wait for the caller to read them."""
@@ -271,7 +310,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests in them."""
+        self._has_received = True
         if self._error is not None or self._is_ending:
+            self._record_crossing()
             self._pacer.record_read(len(data))
             return
         had_begun = self._reader.has_begun
@@ -321,6 +362,16 @@
         self._tasks.cancel()
         self._transport.close()
 
+    def close_idle(self, linger_s: float = LINGER_S) -> None:
+        """Closes the connection in order unless a request is under way.
+
+        Args:
+            linger_s: Longest time until it is closed, in seconds.
+        """
+        if not self.is_busy and not self._is_ending:
+            self._was_idle = True
+            self._linger(linger_s)
+
     def give_up(self, reason: str) -> None:
         """Rejects the request, since it takes too much memory.
 
@@ -485,7 +536,7 @@
             reason = "the request did not arrive in time"
             self._reject(parsing.MessageError(408, reason))
         else:
-            self._linger()
+            self.close_idle()
 
     def _write_response(
         self, response: messages.Response, method: str, keeps_alive: bool
@@ -520,11 +571,14 @@
         self._write_response(messages.Response(error.status), "GET", False)
         self._linger()
 
-    def _linger(self) -> None:
-        """Ends the sending and closes the connection after ``LINGER_S``.
+    def _linger(self, linger_s: float = LINGER_S) -> None:
+        """Ends the sending and closes the connection after a time.
 
         It is closed earlier when the caller closes it, and later if responses
         have not been sent by then.
+
+        Args:
+            linger_s: The time, in seconds.
         """
         self._is_ending = True
         self._running.clear()
@@ -536,13 +590,20 @@
             return
         self._pacer.hold(False)
         self._server.add_lingering(self)
-        self._set_timeout(LINGER_S)
+        self._set_timeout(linger_s)
         try:
             self._transport.write_eof()
         except OSError as error:  # asyncio reports the caller's reset here
             loguru.logger.info("a caller reset its connection: {}", error)
             self._transport.abort()
 
+    def _record_crossing(self) -> None:
+        """Records a request that was sent while the idle connection closed."""
+        if self._was_idle:
+            self._was_idle = False
+            reason = "a request crossed the close of an idle connection"
+            self._server.record_cut(Cut(reason, 0, 0, True, self.unsent_bytes))
+
     def end_linger(self) -> None:
         """Closes a lingering connection once its responses have been sent."""
         self._transport.close()
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -117,6 +117,9 @@
             self._memory,
             self._record_cut,
         )
+        self._ready_server = self._server(self._handle_readiness)
+        self._control_server = self._server(self._handle_announcement)
+        self._operators_server = self._server(_handle_metrics)
         self._log = log
         self._stopping = anyio.Event()
 
@@ -132,15 +135,9 @@
                 meshserver.serve_mesh, self._handle_message, self._settings
             )
             _start_server(tasks, listen.callers, self._caller_server)
-            _start_server(
-                tasks, listen.ready, self._server(self._handle_readiness)
-            )
-            _start_server(
-                tasks, listen.control, self._server(self._handle_announcement)
-            )
-            _start_server(
-                tasks, listen.operators, self._server(_handle_metrics)
-            )
+            _start_server(tasks, listen.ready, self._ready_server)
+            _start_server(tasks, listen.control, self._control_server)
+            _start_server(tasks, listen.operators, self._operators_server)
             tasks.start_soon(self._config_sync.run)
             tasks.start_soon(self._peer_exchange.run)
             loguru.logger.info("the daemon started")
@@ -172,36 +169,54 @@
         self._local_upstream.stop()
         self._caller_server.close_connections()
         await self._peer_exchange.announce_stop()
-        await self._wait_until_idle(shutdown)
+        await self._wait_until_idle(
+            shutdown.notice_until, shutdown.listen_until
+        )
+        await self._caller_server.end(shutdown.end_at)
+        await self._wait_until_idle(began_at, shutdown.end_at)
+        await self._end_platform_servers(shutdown.end_at)
         self._record_stop(time.monotonic() - began_at)
 
-    async def _wait_until_idle(
-        self, shutdown: shutdown_module.Shutdown
-    ) -> None:
-        """Waits until callers have left and calls have ended, or the limit."""
-        while (now := time.monotonic()) < shutdown.end_at:
+    async def _wait_until_idle(self, earliest: float, latest: float) -> None:
+        """Waits until callers have their answers and calls have ended.
+
+        Args:
+            earliest: Monotonic time before which it does not return.
+            latest: Monotonic time at which it returns in any case.
+        """
+        while (now := time.monotonic()) < latest:
             is_idle = (
                 not self._caller_server.busy_connections
                 and not self._local_upstream.running
             )
-            if is_idle and now >= shutdown.notice_until:
+            if is_idle and now >= earliest:
                 return
             await anyio.sleep(STOP_CHECK_PERIOD_S)
-        loguru.logger.warning(
-            "shutdown limit reached: {} connections and {} calls are cut off",
-            self._caller_server.busy_connections,
-            self._local_upstream.running,
-        )
+
+    async def _end_platform_servers(self, end_at: float) -> None:
+        """Answers what the platform and the upstream have sent."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._ready_server.end, end_at)
+            tasks.start_soon(self._control_server.end, end_at)
+            tasks.start_soon(self._operators_server.end, end_at)
 
     def _record_stop(self, elapsed_s: float) -> None:
         """Records what a graceful shutdown leaves at its end."""
+        connections = self._caller_server.busy_connections
+        calls = self._local_upstream.running
+        if connections or calls:
+            loguru.logger.warning(
+                "shutdown limit reached: {} connections and {} calls are cut",
+                connections,
+                calls,
+            )
         self._log.record(
             logevents.StopEnded(
                 elapsed_ms=round(elapsed_s * 1000, 1),
                 connections=self._caller_server.open_connections,
-                busy=self._caller_server.busy_connections,
+                busy=connections,
                 unsent_bytes=self._caller_server.unsent_bytes,
-                running=self._local_upstream.running,
+                running=calls,
             )
         )
 
