--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -126,6 +126,9 @@
             self._memory,
             self._record_cut,
         )
+        self._ready_server = self._server(self._handle_readiness)
+        self._control_server = self._server(self._handle_announcement)
+        self._operators_server = self._server(_handle_metrics)
         self._log = log
         self._stopping = anyio.Event()
 
@@ -184,9 +187,9 @@
         listen = self._settings.listen
         servers = {
             listen.callers: self._caller_server,
-            listen.ready: self._server(self._handle_readiness),
-            listen.control: self._server(self._handle_announcement),
-            listen.operators: self._server(_handle_metrics),
+            listen.ready: self._ready_server,
+            listen.control: self._control_server,
+            listen.operators: self._operators_server,
         }
         for address, listener in listeners.items():
             if address == listen.mesh:
@@ -224,36 +227,54 @@
         self._caller_server.close_connections()
         announce = self._peer_exchange.announce_stop
         await supervision.attempt(self._log.record, _STOP, announce)
-        await self._wait_until_idle(shutdown)
+        await self._wait_until_idle(
+            shutdown.notice_until, shutdown.listen_until
+        )
+        await self._caller_server.end(shutdown.end_at)
+        await self._wait_until_idle(began_at, shutdown.end_at)
+        await self._end_platform_servers(shutdown.end_at)
         self._record_stop(time.monotonic() - began_at)
 
-    async def _wait_until_idle(
-        self, shutdown: shutdown_module.Shutdown
-    ) -> None:
-        """Waits until callers have left and calls have ended, or the limit."""
-        while (now := time.monotonic()) < shutdown.end_at:
+    async def _wait_until_idle(self, earliest: float, latest: float) -> None:
+        """Waits until callers have their answers and calls have ended.
+
+        Args:
+            earliest: Monotonic time before which it does not return.
+            latest: Monotonic time at which it returns in any case.
+        """
+        while (now := time.monotonic()) < latest:
             is_idle = (
                 not self._caller_server.busy_connections
                 and not self._local_upstream.running
             )
-            if is_idle and now >= shutdown.notice_until:
+            if is_idle and now >= earliest:
                 return
             await anyio.sleep(STOP_CHECK_PERIOD_S)
-        loguru.logger.warning(
-            "shutdown limit reached: {} connections and {} calls are cut off",
-            self._caller_server.busy_connections,
-            self._local_upstream.running,
-        )
+
+    async def _end_platform_servers(self, end_at: float) -> None:
+        """Answers what the platform and the upstream have sent."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._ready_server.end, end_at)
+            tasks.start_soon(self._control_server.end, end_at)
+            tasks.start_soon(self._operators_server.end, end_at)
 
     def _record_stop(self, elapsed_s: float) -> None:
         """Records what a graceful shutdown leaves at its end."""
+        connections = self._caller_server.busy_connections
+        calls = self._local_upstream.running
+        if connections or calls:
+            loguru.logger.warning(
+                "shutdown limit reached: {} connections and {} calls are cut",
+                connections,
+                calls,
+            )
         self._log.record(
             logevents.StopEnded(
                 elapsed_ms=round(elapsed_s * 1000, 1),
                 connections=self._caller_server.open_connections,
-                busy=self._caller_server.busy_connections,
+                busy=connections,
                 unsent_bytes=self._caller_server.unsent_bytes,
-                running=self._local_upstream.running,
+                running=calls,
             )
         )
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,8 +1,11 @@
 """HTTP server with callers that send given bytes."""
 
 import contextlib
+import socket
+import struct
 
 import anyio
+import anyio.abc
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -260,6 +263,159 @@
         assert b"connection: close" in answer
 
 
+async def test_requests_that_run_are_answered_when_the_server_closes():
+    """Guards against requests that run and are lost to an earlier answer."""
+    started = []
+
+    async def slow(request):
+        started.append(request.target)
+        await anyio.sleep(0.1 if request.target != "/2" else 0.2)
+        return await echo(request)
+
+    ahead = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+    async with serving(slow) as (server, connect):
+        stream = await connect()
+        await stream.send(b"".join(ahead % number for number in (1, 2, 3)))
+        await anyio.sleep(0.05)
+        server.close_connections()
+        await stream.send(ahead % 4 + ahead % 5)
+        answer = (await read_all(stream)).lower()
+    assert started == ["/1", "/2", "/3"]
+    positions = [answer.index(b"get /%d 0" % number) for number in (1, 2, 3)]
+    assert positions == sorted(positions)
+    assert answer.count(b"http/1.1 200 ") == 3
+    assert answer.count(b"connection: close") == 1
+    assert answer.index(b"connection: close") > positions[1]
+
+
+@pytest.mark.parametrize("is_closing", [True, False])
+async def test_nothing_starts_behind_the_last_request(is_closing):
+    """Guards against requests that run and cannot be answered."""
+    started = []
+
+    async def slow(request):
+        started.append(request.target)
+        await anyio.sleep(0.05)
+        return await echo(request)
+
+    last = b"" if is_closing else b"Connection: close\r\n"
+    async with serving(slow) as (server, connect):
+        stream = await connect()
+        if is_closing:
+            server.close_connections()
+        await stream.send(
+            b"GET /1 HTTP/1.1\r\nHost: a\r\n%s\r\n" % last
+            + b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        answer = (await read_all(stream)).lower()
+    assert started == ["/1"]
+    assert answer.count(b"http/1.1 200 ") == 1
+    assert answer.count(b"connection: close") == 1
+
+
+CLOSING = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+async def test_a_connection_is_busy_until_its_answer_has_been_sent():
+    """Guards against a stop that cuts answers in the buffers."""
+
+    async def answer(_request):
+        return messages.Response(200, (), b"x" * 16_000_000)
+
+    async with serving(answer) as (server, connect):
+        for head in (CLOSING, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"):
+            stream = await connect()
+            await stream.send(head)
+            await anyio.sleep(0.2)
+            assert server.busy_connections == 1
+            received = 0
+            with anyio.fail_after(3):
+                while received < 16_000_000:
+                    received += len(await stream.receive())
+            await anyio.sleep(0.05)
+            assert server.busy_connections == 0
+            await stream.aclose()
+
+
+@pytest.mark.parametrize("size", [10, 8_000_000])
+async def test_bytes_after_the_last_response_do_not_take_it(size):
+    """Guards against a reset that overtakes the last response (RFC 9112)."""
+
+    async def answer(_request):
+        return messages.Response(200, (), b"x" * size)
+
+    async with serving(answer) as (_server, connect):
+        stream = await connect()
+        await stream.send(CLOSING)
+        for _ in range(5):
+            await anyio.sleep(0.02)
+            await stream.send(b"GET /more HTTP/1.1\r\nHost: a\r\n\r\n")
+        _head, _, body = (await read_all(stream)).partition(b"\r\n\r\n")
+        assert body == b"x" * size
+
+
+async def test_a_connection_ends_when_its_caller_closes_it():
+    """Guards against connections that stay open after their last use."""
+    async with serving(echo) as (server, connect):
+        for _ in range(20):
+            stream = await connect()
+            await stream.send(CLOSING)
+            assert b" 200 " in await stream.receive()
+            await stream.aclose()
+        await anyio.sleep(0.1)
+        assert server.open_connections == 0
+
+
+async def test_callers_that_never_close_leave_few_connections(monkeypatch):
+    """Guards against connections without number after their last response."""
+    monkeypatch.setattr(server_module, "MAX_LINGERING", 2)
+    async with serving(echo) as (server, connect):
+        streams = [await connect() for _ in range(6)]
+        for stream in streams:
+            await stream.send(CLOSING)
+            assert b" 200 " in await stream.receive()
+        await anyio.sleep(0.1)
+        assert server.open_connections == 2
+        await anyio.sleep(server_module.LINGER_S + 0.1)
+        assert server.open_connections == 0
+        for stream in streams:
+            await stream.aclose()
+
+
+async def test_a_caller_that_stops_reading_a_last_response_is_cut(monkeypatch):
+    """Guards against responses that nobody reads and that are never freed."""
+    monkeypatch.setattr(server_module, "SEND_TIMEOUT_S", 0.6)
+
+    async def answer(_request):
+        return messages.Response(200, (), b"x" * 16_000_000)
+
+    async with serving(answer) as (server, connect):
+        stream = await connect()
+        await stream.send(CLOSING)
+        await anyio.sleep(0.2)
+        assert server.unsent_bytes > 0
+        await anyio.sleep(2.5)
+        assert server.open_connections == 0
+        await stream.aclose()
+
+
+async def test_a_caller_that_resets_its_connection_is_no_error(caplog):
+    """Guards against errors of the event loop when callers vanish."""
+    async with serving(echo) as (server, connect):
+        for number in range(40):
+            stream = await connect()
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            await stream.send(CLOSING)
+            await anyio.sleep(number * 0.00005)
+            await stream.aclose()
+        await anyio.sleep(0.1)
+        assert server.open_connections == 0
+    assert not caplog.records
+
+
 async def test_held_bodies_are_counted_while_they_arrive():
     """Guards against incomplete bodies that use up the memory uncounted."""
     async with serving(echo) as (server, connect):
