End connections between daemons without losing calls or answers

Cause: a daemon that stops aborted the connections of the other daemons. The drain waits for the calls of its upstream, not for their answers, so answers in the write buffers were dropped and their callers got 502. So did the callers of unsafe requests whose call had not been read yet, though it had not run.

Change: at the end of the drain the mesh server closes its listener, waits until the answers of each connection are written, sends the new message linkEnd with the number of the last stream that it has read, half-closes, ignores what still comes and waits until the other daemons have closed, at most until the shutdown's end (0.2 s if that has passed). The other daemon takes a call on a later stream as not run, as its number cannot have been read; all others as before. A daemon of the version before takes linkEnd for a malformed frame, after the answers before it, and closes the connection.

--- a/rattangauge/net/connection_monitor.py
+++ b/rattangauge/net/connection_monitor.py
@@ -23,6 +23,14 @@
     def is_quiet(self) -> bool:
         """Whether no answer of the other end is awaited."""
 
+    @property
+    def stream_count(self) -> int:
+        """Number of streams in use."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the transport has reported the end of the connection."""
+
     def next_check_at(self) -> float:
         """Returns when a quiet connection must be checked, a monotonic time."""
 
@@ -32,6 +40,12 @@
     def close(self) -> None:
         """Aborts the connection."""
 
+    def end(self) -> None:
+        """Ends the connection after what was sent."""
+
+    def abort(self) -> None:
+        """Aborts the transport of a connection that has ended."""
+
 
 class ConnectionMonitor:
     """Checks the connections of one daemon for lost and idle ones.
@@ -55,6 +69,11 @@
         self._quiet_connections: set[MonitoredConnection] = set()
         self._entry_numbers = itertools.count()
 
+    @property
+    def connections(self) -> list[MonitoredConnection]:
+        """The connections that have not ended."""
+        return list(self._connections)
+
     @property
     def check_period_s(self) -> float:
         """Time between two checks of a connection that is in use."""
@@ -131,6 +150,6 @@
                 was_paused = now - sleep_began > 2 * period_s
                 self.check_all(now, was_paused)
         finally:
-            for connection in list(self._connections):
+            for connection in self.connections:
                 connection.close()
             self.tasks.cancel()
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -77,6 +77,7 @@
         self._error: errors.CodedError | None = None
         # Why no new stream may be opened, though the connection is open.
         self._silence_error: errors.CodedError | None = None
+        self._is_lost = False
         self._write_resumed: asyncio.Future[None] | None = None
         self._received_at = time.monotonic()
         self._last_stream_at = self._received_at
@@ -97,6 +98,11 @@
         """Whether a new stream may be opened."""
         return self.is_open and self._silence_error is None
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the transport has reported the end of the connection."""
+        return self._is_lost
+
     @property
     def stream_count(self) -> int:
         """Number of streams in use."""
@@ -127,11 +133,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and dispatches their messages."""
+        if self._error is not None:
+            return
         self._received_at = time.monotonic()
         self._unacknowledged_bytes = 0
         try:
             for number, message in self._frame_parser.feed(data):
-                self._dispatch(number, message)
+                if self._error is None:
+                    self._dispatch(number, message)
         except errors.CodedError as error:
             self._reject(error)
         if self._pacer is not None:
@@ -157,6 +166,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the connection and all its streams."""
+        self._is_lost = True
         text = "the connection was reset" if exc else "the connection has ended"
         self._fail(errors.CodedError(errorcodes.LINK_CLOSED, text))
 
@@ -259,6 +269,24 @@
         text = "the connection was closed by this daemon"
         self._fail(errors.CodedError(errorcodes.LINK_CLOSED, text))
 
+    def end(self) -> None:
+        """Ends a connection that the other end opened, after what was sent.
+
+        The other end is told which streams were read; what it sends from now
+        on is ignored. It closes the connection when it has received all.
+        """
+        if not self.is_open:
+            return
+        self.post(None, messages.LinkEnd(self._last_stream_number))
+        self._transport.write_eof()
+        text = "the connection was ended by this daemon"
+        error = errors.CodedError(errorcodes.LINK_CLOSED, text)
+        self._fail(error, abort=False)
+
+    def abort(self) -> None:
+        """Aborts the transport of a connection that has ended."""
+        self._transport.abort()
+
     def _reject(self, error: errors.CodedError) -> None:
         """Closes the connection after a message with the reason."""
         if self._error is not None:
@@ -302,6 +330,8 @@
         elif isinstance(message, messages.LinkPong):
             if message.sequence == self._ping_sequence:
                 self._pinged_at = None
+        elif isinstance(message, messages.LinkEnd) and self._is_opener:
+            self._end_by_peer(message.last_stream)
         elif isinstance(message, messages.AnswerFailed):
             raise errors.CodedError(
                 errorcodes.LINK_CLOSED,
@@ -311,6 +341,18 @@
             text = f"{type(message).__name__} came without a stream"
             raise errors.CodedError(errorcodes.FRAME_UNEXPECTED, text)
 
+    def _end_by_peer(self, last_stream: int) -> None:
+        """Ends the connection at the request of the end that accepts streams.
+
+        Args:
+            last_stream: Number of the last stream that it has read.
+        """
+        for number, stream in self._streams.items():
+            if number > last_stream:
+                stream.mark_unread()
+        text = "the other daemon has ended"
+        self._fail(errors.CodedError(errorcodes.LINK_CLOSED, text))
+
     def _answer_ping(self, sequence: int) -> None:
         """Answers a ping, unless too many bytes wait for the other end."""
         unread_bytes = self._transport.get_write_buffer_size()
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -68,7 +68,7 @@
             the connection failed.
     """
     stream_context = _open_stream(links, address, request)
-    is_sent = False
+    may_be_read = False
     remaining_s = request.deadline - time.monotonic()
     try:
         with anyio.fail_after(remaining_s):
@@ -76,13 +76,13 @@
                 try:
                     await _exchange(stream, request, respond)
                 finally:
-                    is_sent = stream.is_sent
+                    may_be_read = stream.may_be_read
     except exchange.CallFailed:
         raise
     except errors.CodedError as error:
-        raise ConnectionLost(str(error), is_sent) from error
+        raise ConnectionLost(str(error), may_be_read) from error
     except TimeoutError as error:
-        raise _deadline_failure(is_sent) from error
+        raise _deadline_failure(may_be_read) from error
 
 
 def _open_stream(
@@ -125,11 +125,11 @@
     except exchange.CallFailed:
         raise
     except errors.CodedError as error:
-        is_sent = stream is not None and stream.is_sent
-        raise ConnectionLost(str(error), is_sent) from error
+        may_be_read = stream is not None and stream.may_be_read
+        raise ConnectionLost(str(error), may_be_read) from error
     except TimeoutError as error:
         raise _deadline_failure(
-            stream is not None and stream.is_sent
+            stream is not None and stream.may_be_read
         ) from error
     finally:
         if stream is not None:
--- a/rattangauge/net/meshserver.py
+++ b/rattangauge/net/meshserver.py
@@ -2,12 +2,76 @@
 
 import asyncio
 import socket
+import time
+
+import anyio
+import loguru
 
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.net import connection_monitor
 from rattangauge.net import connections
 
+# Time between two checks of the connections that end.
+END_CHECK_PERIOD_S = 0.01
+# Shortest time that other daemons have to receive the last bytes.
+MIN_LINGER_S = 0.2
+
+
+class MeshServer:
+    """Serves the connections that other daemons open."""
+
+    def __init__(self, handler: connections.Handler, silence_s: float) -> None:
+        """Creates a server; ``serve`` starts it.
+
+        Args:
+            handler: Called for each stream that another daemon opens.
+            silence_s: Seconds without an expected byte after which a connection
+                counts as lost.
+        """
+        self._handler = handler
+        self._monitor = connection_monitor.ConnectionMonitor(silence_s)
+        self._server: asyncio.Server | None = None
+
+    async def serve(self, listener: socket.socket) -> None:
+        """Serves a listening socket until cancelled; closes it then."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_connection, sock=listener, backlog=util.LISTEN_BACKLOG
+        )
+        try:
+            await self._monitor.run()
+        finally:
+            self._server.close()
+
+    def _make_connection(self) -> connections.Connection:
+        return connections.Connection(self._monitor, self._handler)
+
+    async def end(self, end_at: float) -> None:
+        """Ends all connections so that the other daemons lose nothing.
+
+        Each connection ends once the answers of its streams have been sent.
+        Until then calls are still read, and the handler must refuse them.
+
+        Args:
+            end_at: Monotonic time in seconds at which streams are cut off.
+        """
+        if self._server is not None:
+            self._server.close()
+        # The event loop makes the connections that were accepted last.
+        await anyio.sleep(END_CHECK_PERIOD_S)
+        ending = self._monitor.connections
+        lost_by = max(end_at, time.monotonic() + MIN_LINGER_S)
+        while ending and (now := time.monotonic()) < lost_by:
+            for connection in ending:
+                if not connection.stream_count or now >= end_at:
+                    connection.end()
+            await anyio.sleep(END_CHECK_PERIOD_S)
+            ending = [item for item in ending if not item.is_lost]
+        for connection in ending:
+            loguru.logger.warning("another daemon did not close in time")
+            connection.abort()
+
 
 async def serve_socket(
     listener: socket.socket, handler: connections.Handler, silence_s: float
@@ -20,22 +84,17 @@
         silence_s: Seconds without an expected byte after which a connection
             counts as lost.
     """
-    monitor = connection_monitor.ConnectionMonitor(silence_s)
-    server = await asyncio.get_running_loop().create_server(
-        lambda: connections.Connection(monitor, handler),
-        sock=listener,
-        backlog=util.LISTEN_BACKLOG,
-    )
-    try:
-        await monitor.run()
-    finally:
-        server.close()
+    await MeshServer(handler, silence_s).serve(listener)
+
+
+def listen(settings: settings_module.Settings) -> socket.socket:
+    """Returns a socket that listens on the configured address."""
+    address = util.parse_address(settings.listen.mesh)
+    return util.listen(address.host, address.port)
 
 
 async def serve_mesh(
     handler: connections.Handler, settings: settings_module.Settings
 ) -> None:
     """Serves mesh connections on the configured address until cancelled."""
-    address = util.parse_address(settings.listen.mesh)
-    listener = util.listen(address.host, address.port)
-    await serve_socket(listener, handler, settings.mesh.silence_s)
+    await serve_socket(listen(settings), handler, settings.mesh.silence_s)
--- a/rattangauge/net/streams.py
+++ b/rattangauge/net/streams.py
@@ -75,6 +75,7 @@
         self._on_interrupt: Callable[[], object] | None = None
         self._may_repeat = True
         self._is_patient = False
+        self._is_unread = False
 
     @property
     def is_patient(self) -> bool:
@@ -97,6 +98,15 @@
         """Whether any byte of the stream may have been sent."""
         return self.number > 0
 
+    @property
+    def may_be_read(self) -> bool:
+        """Whether the other end may have read, or may yet read, the stream."""
+        return self.is_sent and not self._is_unread
+
+    def mark_unread(self) -> None:
+        """Records that the other end has not read the stream, nor will it."""
+        self._is_unread = True
+
     async def send(self, message: messages.Message) -> None:
         """Sends a message without a body.
 
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -117,6 +117,9 @@
             self._memory,
             self._record_cut,
         )
+        self._mesh_server = meshserver.MeshServer(
+            self._handle_message, settings.mesh.silence_s
+        )
         self._log = log
         self._stopping = anyio.Event()
 
@@ -129,7 +132,7 @@
         listen = self._settings.listen
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                meshserver.serve_mesh, self._handle_message, self._settings
+                self._mesh_server.serve, meshserver.listen(self._settings)
             )
             _start_server(tasks, listen.callers, self._caller_server)
             _start_server(
@@ -173,6 +176,7 @@
         self._caller_server.close_connections()
         await self._peer_exchange.announce_stop()
         await self._wait_until_idle(shutdown)
+        await self._mesh_server.end(shutdown.end_at)
         self._record_stop(time.monotonic() - began_at)
 
     async def _wait_until_idle(
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -25,6 +25,7 @@
     editionRefused @18 :EditionRefused;
     zoneExchange @19 :ZoneExchange;
     peerNews @20 :PeerNews;
+    linkEnd @21 :LinkEnd;
   }
 }
 
@@ -47,6 +48,9 @@
 
 struct LinkPing { sequence @0 :UInt64; }
 struct LinkPong { sequence @0 :UInt64; }
+# The last message of the end that accepts streams. It has read no stream with a
+# higher number, nor will it. An older daemon takes it for a malformed frame.
+struct LinkEnd { lastStream @0 :UInt32; }
 
 struct CallOpen {
   callId @0 :Text;
