Start no call for an upstream that restarts while its daemon stops

Cause: a new process of the upstream gets a new queue, and that one was open although the daemon had refused all further calls of other daemons and of its own callers since the signal. Such a call could run into the end of the daemon, and the end of the connections counts on their being refused.

Change: the new queue is closed too while the daemon stops.

Measured: the new test of tests/test_shutdown.py, in one process: before, the call was started ("DID NOT RAISE"); now it is refused as not run (3 of 3).

--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -183,6 +183,8 @@
         self._queue = call_queue.Queue(
             heartbeat.slots, max_queued, time.monotonic()
         )
+        if self._is_stopping:
+            self._queue.close()
         if self._client is not None:
             self._client.close()
         self._client = client_module.Client(
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,10 +3,13 @@
 import anyio
 import pytest
 
+from rattangauge.calls import exchange
 from rattangauge.calls import shutdown
+from rattangauge.generated import messages
 from rattangauge.generated import settings as generated
 from standins import appworker
 from tests import meshes
+from tests import peers
 
 
 @pytest.fixture
@@ -110,3 +113,16 @@
         with anyio.fail_after(7):
             assert (await caller.receive())[0] == 200
         assert instance.upstream.peak == 0
+
+
+async def test_an_upstream_that_restarts_gets_no_call_of_a_stopping_daemon():
+    """Guards against calls that start at the end of a stop and are cut."""
+    async with meshes.running() as mesh:
+        instance = await stopped_mesh(mesh, 5.0)
+        await anyio.sleep(0.05)
+        await instance.send_heartbeat(born=2000)
+        local_upstream = instance.node._local_upstream
+        with pytest.raises(exchange.CallFailed) as caught:
+            await local_upstream.execute(peers.request())
+        assert caught.value.outcome == messages.Outcome.NOT_RUN
+        assert not instance.upstream.arrived
