Wait one second for a daemon that does not close an ended connection

Cause: the end of the connections waited until the shutdown's end for each other daemon that did not close, though all bytes had left the process. An idle connection to a daemon out of reach is found late in a large fleet, and each such stop would have taken the whole time limit.

Change: once its last bytes have left the process a connection gets 1 s.

--- a/rattangauge/net/connection_monitor.py
+++ b/rattangauge/net/connection_monitor.py
@@ -27,6 +27,10 @@
     def stream_count(self) -> int:
         """Number of streams in use."""
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes wait in this process, or may still be written."""
+
     @property
     def is_lost(self) -> bool:
         """Whether the transport has reported the end of the connection."""
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -98,6 +98,11 @@
         """Whether a new stream may be opened."""
         return self.is_open and self._silence_error is None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes wait in this process, or may still be written."""
+        return self.is_open or self._transport.get_write_buffer_size() > 0
+
     @property
     def is_lost(self) -> bool:
         """Whether the transport has reported the end of the connection."""
--- a/rattangauge/net/meshserver.py
+++ b/rattangauge/net/meshserver.py
@@ -16,6 +16,9 @@
 END_CHECK_PERIOD_S = 0.01
 # Shortest time that other daemons have to receive the last bytes.
 MIN_LINGER_S = 0.2
+# Time that another daemon has to close a connection whose last bytes have left
+# this process. It may be out of reach, which an idle connection does not show.
+CLOSE_TIMEOUT_S = 1.0
 
 
 class MeshServer:
@@ -61,16 +64,25 @@
         # The event loop makes the connections that were accepted last.
         await anyio.sleep(END_CHECK_PERIOD_S)
         ending = self._monitor.connections
-        lost_by = max(end_at, time.monotonic() + MIN_LINGER_S)
-        while ending and (now := time.monotonic()) < lost_by:
-            for connection in ending:
+        began_at = time.monotonic()
+        lost_by = max(end_at, began_at + MIN_LINGER_S)
+        waits = dict.fromkeys(ending, began_at + CLOSE_TIMEOUT_S)
+        while waits and (now := time.monotonic()) < lost_by:
+            for connection in waits:
                 if not connection.stream_count or now >= end_at:
                     connection.end()
+                if connection.has_unsent:
+                    waits[connection] = now + CLOSE_TIMEOUT_S
             await anyio.sleep(END_CHECK_PERIOD_S)
-            ending = [item for item in ending if not item.is_lost]
+            waits = {
+                connection: close_by
+                for connection, close_by in waits.items()
+                if not connection.is_lost and now < close_by
+            }
         for connection in ending:
-            loguru.logger.warning("another daemon did not close in time")
-            connection.abort()
+            if not connection.is_lost:
+                loguru.logger.warning("another daemon did not close in time")
+                connection.abort()
 
 
 async def serve_socket(
--- a/tests/test_ending_connections.py
+++ b/tests/test_ending_connections.py
@@ -217,6 +217,27 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_daemon_that_does_not_close_delays_the_end_by_little():
+    """Guards against stops that wait long for daemons out of reach."""
+
+    async def handle(_stream, _message):
+        raise AssertionError("there is no call")
+
+    listener = util.listen("127.0.0.1")
+    port = listener.getsockname()[1]
+    server = meshserver.MeshServer(handle, 2.0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, listener)
+        peer = peers.Peer(await anyio.connect_tcp("127.0.0.1", port))
+        await anyio.sleep(0.1)
+        began_at = time.monotonic()
+        with anyio.fail_after(3):
+            await server.end(began_at + 5.0)
+        assert time.monotonic() - began_at < 1.5
+        assert await peer.receive() == (0, messages.LinkEnd(0))
+        tasks.cancel_scope.cancel()
+
+
 def hold_reading(instance):
     """Stops a daemon from reading what other daemons send."""
     monitor = instance.node._mesh_server._monitor
--- a/tests/test_process_calls.py
+++ b/tests/test_process_calls.py
@@ -214,3 +214,32 @@
         assert_promises(fleet, orders)
         assert orders.counts() == {200: SLOTS}
         assert await fleet.machines["b"].ended(5) == 0
+
+
+@pytest.mark.parametrize("stopped", ["a", "ab"])
+async def test_calls_of_callers_beside_a_stopping_daemon_are_answered(stopped):
+    """Guards against calls that end with the daemon that has sent them."""
+    async with orders_fleet("b") as fleet:
+        ended = anyio.Event()
+
+        async def answer_together(request):
+            await ended.wait()
+            return appworker.sealed(request)
+
+        fleet.machines["b"].upstream.behaviour = answer_together
+        orders = Orders(fleet.machines["a"])
+        async with anyio.create_task_group() as tasks:
+            for number in range(SLOTS):
+                body = UPLOAD if number % 3 == 0 else b"order"
+                tasks.start_soon(orders.send_one, f"q{number}", body)
+            with anyio.fail_after(2):
+                while len(run_counts(fleet)) < SLOTS:
+                    await anyio.sleep(0.01)
+            for name in stopped:
+                fleet.machines[name].process.send_signal(signal.SIGTERM)
+            await anyio.sleep(NOTICE_S + 0.2)
+            ended.set()
+        assert_promises(fleet, orders)
+        assert orders.counts() == {200: SLOTS}
+        for name in stopped:
+            assert await fleet.machines[name].ended(5) == 0
