--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -129,6 +129,9 @@
         self._ready_server = self._server(self._handle_readiness)
         self._control_server = self._server(self._handle_announcement)
         self._operators_server = self._server(_handle_metrics)
+        self._mesh_server = meshserver.MeshServer(
+            self._handle_message, settings.mesh.silence_s, log.record
+        )
         self._log = log
         self._stopping = anyio.Event()
 
@@ -193,13 +196,7 @@
         }
         for address, listener in listeners.items():
             if address == listen.mesh:
-                tasks.start_soon(
-                    meshserver.serve_socket,
-                    listener,
-                    self._handle_message,
-                    self._settings.mesh.silence_s,
-                    self._log.record,
-                )
+                tasks.start_soon(self._mesh_server.serve, listener)
             else:
                 tasks.start_soon(servers[address].serve, listener)
 
@@ -233,6 +230,7 @@
         await self._caller_server.end(shutdown.end_at)
         await self._wait_until_idle(began_at, shutdown.end_at)
         await self._end_platform_servers(shutdown.end_at)
+        await self._mesh_server.end(shutdown.end_at)
         self._record_stop(time.monotonic() - began_at)
 
     async def _wait_until_idle(self, earliest: float, latest: float) -> None:
