Check the URL of the store, apply a reload only once it works

Cause: the URL was not checked. A settings file whose URL cannot be parsed, such as http://[::1, raised InvalidURL in the loop or the signal handler that reloads it, which ended the daemon; the settings counted as applied by then. An empty or half written URL was put in force, and no call reached the store.

Measured: the 12 new cases of test_settings.py fail without the change and pass with it.

--- a/rattangauge/settings.py
+++ b/rattangauge/settings.py
@@ -3,6 +3,7 @@
 import pathlib
 import tomllib
 from typing import Any
+import urllib.parse
 
 from rattangauge import errors
 from rattangauge import fields
@@ -11,6 +12,9 @@
 
 Settings = generated.Settings
 
+# Characters of a URL.
+MAX_URL = 2000
+
 _CODES = fields.Codes(
     unknown=errorcodes.SETTINGS_UNKNOWN_KEY,
     missing=errorcodes.SETTINGS_MISSING,
@@ -35,6 +39,19 @@
     return fields.check(generated.SPECS[name], table, _CODES, report)
 
 
+def _url_error(url: str) -> str:
+    """Returns why a text is no URL that can be called; empty if it is one."""
+    try:
+        parts = urllib.parse.urlsplit(url)
+        _ = parts.port
+    except ValueError as error:
+        return f"{fields.show(url)}: {error}"
+    is_web = parts.scheme in ("http", "https") and bool(parts.hostname)
+    if not is_web or not url.isprintable() or len(url) > MAX_URL:
+        return f"{fields.show(url)} is not an http or https URL"
+    return ""
+
+
 def parse(text: str, place: str) -> Settings:
     """Parses the text of a settings file.
 
@@ -67,6 +84,10 @@
         name: _check_section(place, name, tables.get(name, {}), findings)
         for name in generated.SECTIONS
     }
+    url = values["platform"].get("url")
+    if url is not None and (message := _url_error(url)):
+        code = errorcodes.SETTINGS_ADDRESS
+        findings.append(errors.Finding(place, "platform.url", message, code))
     if findings:
         raise errors.FindingsError(findings)
     sections = {
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,10 @@
 """Tests of the settings of the daemon."""
 
+import httpx
 import hypothesis
 from hypothesis import strategies
 import pytest
+from rattangauge_platform import daemon
 
 from rattangauge import errors
 from rattangauge import settings as settings_module
@@ -74,3 +76,42 @@
     listen = {**VALID["listen"], "advertise": ""}
     text = fleet.format_settings({**VALID, "listen": listen})
     assert settings_module.parse(text, "f").listen.advertise == ""
+
+
+@pytest.mark.parametrize(
+    "url",
+    [
+        "",
+        "x",
+        "//host",
+        "http:",
+        "http://",
+        "ftp://host",
+        "http://[::1",
+        "http://host:x/",
+        "http://host:99999999/",
+        "http://a\u2028b/",
+        "http://" + "a" * 70_000,
+    ],
+    ids=lambda url: repr(url[:30]),
+)
+def test_a_url_that_cannot_be_called_is_a_finding(url):
+    """Guards against a reload that ends the daemon or the use of its store."""
+    (finding,) = findings("platform", url=url)
+    assert finding.startswith("f: platform.url: ")
+
+
+def test_a_reload_of_a_url_that_cannot_be_called_keeps_the_old_one(tmp_path):
+    """Guards against a settings file that ends the daemon."""
+    path = tmp_path / "settings.toml"
+    tables = {**VALID, "platform": dict(VALID["platform"])}
+    path.write_text(fleet.format_settings(tables), encoding="utf-8")
+    old = settings_module.load(path)
+    client = httpx.AsyncClient(base_url=old.platform.url)
+    reload = daemon._SettingsReloader(path, old, client)
+    for url in ("http://[::1", "http://new:81"):
+        tables["platform"]["url"] = url
+        path.write_text(fleet.format_settings(tables), encoding="utf-8")
+        reload()
+        expected = old.platform.url if "[" in url else url
+        assert str(client.base_url).rstrip("/") == expected.rstrip("/")
