--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 import pytest
-from rattangauge_platform import daemon
+from rattangauge_platform import program
 
 from rattangauge import errors
 from rattangauge import settings as settings_module
@@ -108,7 +108,7 @@
     path.write_text(fleet.format_settings(tables), encoding="utf-8")
     old = settings_module.load(path)
     client = httpx.AsyncClient(base_url=old.platform.url)
-    reload = daemon._SettingsReloader(path, old, client)
+    reload = program._SettingsReloader(path, old, client)
     for url in ("http://[::1", "http://new:81"):
         tables["platform"]["url"] = url
         path.write_text(fleet.format_settings(tables), encoding="utf-8")
