Move the connection of a caller to a module of its own

Change: Connection, its limits and constants are in http/callerconnection.py, which knows its server by a protocol; no behaviour is changed. Measured: test_http_server, test_closed_transports, test_server_end and test_mutations pass.

--- a/tests/test_closed_transports.py
+++ b/tests/test_closed_transports.py
@@ -18,6 +18,7 @@
 from rattangauge import util
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.http import callerconnection
 from rattangauge.http import client as client_module
 from rattangauge.http import messages as http_messages
 from rattangauge.http import parsing
@@ -161,6 +162,6 @@
         raise AssertionError("there is no request")
 
     server = server_module.Server(handle)
-    connection = server_module._Connection(server)  # no public way to a timer
+    connection = callerconnection.Connection(server)  # no public way to a timer
     connection.connection_made(EndedTransport())
     connection._reject(parsing.MessageError(408, "late"))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -11,6 +11,7 @@
 import pytest
 
 from rattangauge import util
+from rattangauge.http import callerconnection
 from rattangauge.http import messages
 from rattangauge.http import server as server_module
 
@@ -376,7 +377,7 @@
             assert b" 200 " in await stream.receive()
         await anyio.sleep(0.1)
         assert server.open_connections == 2
-        await anyio.sleep(server_module.LINGER_S + 0.1)
+        await anyio.sleep(callerconnection.LINGER_S + 0.1)
         assert server.open_connections == 0
         for stream in streams:
             await stream.aclose()
@@ -384,7 +385,7 @@
 
 async def test_a_caller_that_stops_reading_a_last_response_is_cut(monkeypatch):
     """Guards against responses that nobody reads and that are never freed."""
-    monkeypatch.setattr(server_module, "SEND_TIMEOUT_S", 0.6)
+    monkeypatch.setattr(callerconnection, "SEND_TIMEOUT_S", 0.6)
 
     async def answer(_request):
         return messages.Response(200, (), b"x" * 16_000_000)
--- a/tests/test_server_end.py
+++ b/tests/test_server_end.py
@@ -9,6 +9,7 @@
 import pytest
 
 from rattangauge import util
+from rattangauge.http import callerconnection
 from rattangauge.http import messages
 from rattangauge.http import server as server_module
 
@@ -96,7 +97,7 @@
     ):
         raw = connected(port)
         t.start_soon(server.end, time.monotonic() + LIMIT_S)
-        await anyio.sleep(server_module.FIRST_REQUEST_S / 2)
+        await anyio.sleep(callerconnection.FIRST_REQUEST_S / 2)
         raw.send(REQUEST)
         assert (await read_all(raw)).startswith(b"HTTP/1.1 200 ")
 
@@ -133,7 +134,7 @@
         raws = [connected(port) for _ in range(5)]
         for raw in raws:
             raw.send(REQUEST)
-        await anyio.sleep(server_module.FIRST_REQUEST_S + 0.1)
+        await anyio.sleep(callerconnection.FIRST_REQUEST_S + 0.1)
         began = time.monotonic()
         await server.end(began + LIMIT_S)
         assert time.monotonic() - began < server_module.CROSSING_S + 0.1
@@ -153,7 +154,7 @@
     async with serving(answer, cuts) as (server, port):
         raw = connected(port)
         raw.send(REQUEST)
-        await anyio.sleep(server_module.FIRST_REQUEST_S + 0.1)
+        await anyio.sleep(callerconnection.FIRST_REQUEST_S + 0.1)
         assert raw.recv(1000).startswith(b"HTTP/1.1 200 ")
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.end, time.monotonic() + LIMIT_S)
