Take no new connections between the last accept and the close of the port

Cause: a connection that the kernel sets up in the microseconds between the last accept and the close of the listening socket is reset; its caller can't tell whether a request ran.

Change: a socket filter (Linux) drops segments with SYN alone from right before the last accepts on. A caller that it hits tries again after its kernel's timeout, 1 s, and finds the port closed: nothing was sent. Without the filter, where a system forbids it, the stop goes on as before and logs that.

Handshakes that are under way over a network with a longer round trip than the window are still reset.

--- a/rattangauge/http/acceptor.py
+++ b/rattangauge/http/acceptor.py
@@ -14,6 +14,7 @@
 import loguru
 
 from rattangauge import util
+from rattangauge.http import synfilter
 
 # Iterations of the event loop after which each connection that the loop has
 # accepted has been passed to its protocol.
@@ -73,6 +74,7 @@
         # The copy keeps the socket open when the event loop closes it.
         with self._listener.dup() as listener:
             self.close()
+            _refuse_more(listener)
             return _accept_all(listener)
 
     async def _open(self, connection: socket.socket) -> None:
@@ -83,6 +85,14 @@
             loguru.logger.info("a caller left at once: {}", error)
 
 
+def _refuse_more(listener: socket.socket) -> None:
+    """Keeps connections from coming between the last accept and the close."""
+    try:
+        synfilter.attach(listener)
+    except OSError as error:  # without it a connection may be reset
+        loguru.logger.info("no filter at the listening socket: {}", error)
+
+
 def _accept_all(listener: socket.socket) -> list[socket.socket]:
     """Returns the connections that wait at a listening socket."""
     accepted: list[socket.socket] = []
--- a/tests/test_server_end.py
+++ b/tests/test_server_end.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import socket
+import subprocess
+import sys
 import time
 
 import anyio
@@ -88,6 +90,46 @@
         assert server.open_connections == 0
 
 
+# Opens connections without pause until the port is closed; prints the number of
+# those without an answer.
+CALLER = """
+import socket
+import sys
+
+unanswered = 0
+while True:
+    try:
+        raw = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+    except OSError:
+        break
+    try:
+        raw.sendall(b"GET / HTTP/1.0\\r\\nHost: a\\r\\n\\r\\n")
+        unanswered += not raw.recv(1000).startswith(b"HTTP/1.1 200")
+    except OSError:
+        unanswered += 1
+    raw.close()
+print(unanswered)
+"""
+
+
+def start_caller(port):
+    """Starts a process that opens connections to a port."""
+    return subprocess.Popen(
+        [sys.executable, "-c", CALLER, str(port)], stdout=subprocess.PIPE
+    )
+
+
+async def test_connections_are_answered_until_the_port_is_closed():
+    """Guards against connections between the last accept and the close."""
+    for _ in range(10):
+        async with serving(answer) as (server, port):
+            callers = [start_caller(port) for _ in range(4)]
+            await anyio.sleep(0.3)
+            await server.end(time.monotonic() + LIMIT_S)
+            outputs = [caller.communicate(timeout=5)[0] for caller in callers]
+        assert [int(output) for output in outputs] == [0] * 4
+
+
 async def test_a_new_connection_has_time_for_its_first_request():
     """Guards against a request that crosses the close of a new connection."""
     async with (
