Abort a connection whose caller leaves the last bytes of an answer

Cause: since bytes in the buffer make a connection busy, the idle timeout closed none whose caller never reads the rest of an answer, when that rest is below the size at which sending pauses; no timer was left for it.

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -535,6 +535,8 @@
         elif self._reader.has_begun:
             reason = "the request did not arrive in time"
             self._reject(parsing.MessageError(408, reason))
+        elif self.unsent_bytes:
+            self._abort_unread()
         else:
             self.close_idle()
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import struct
+import types
 
 import anyio
 import anyio.abc
@@ -399,6 +400,22 @@
         await stream.aclose()
 
 
+async def test_the_last_bytes_of_an_unread_answer_do_not_stay():
+    """Guards against connections that end neither as idle nor as unread."""
+    aborted = anyio.Event()
+    transport = types.SimpleNamespace(
+        get_write_buffer_size=lambda: 100,
+        is_closing=lambda: False,
+        abort=aborted.set,
+    )
+    limits = LIMITS._replace(idle_s=0.05)
+    server = server_module.Server(echo, lambda: limits)
+    connection = server_module._Connection(server)
+    connection.connection_made(transport)
+    with anyio.fail_after(1):
+        await aborted.wait()
+
+
 async def test_a_caller_that_resets_its_connection_is_no_error(caplog):
     """Guards against errors of the event loop when callers vanish."""
     async with serving(echo) as (server, connect):
