Wait for the callers again after the end of the other daemons' connections

Ending the connections takes 20 ms and more; requests that callers sent meanwhile were passed on and then cut by the end of the daemon.

Change: the drain waits once more until no request of a caller is under way, and it logs a reached limit only if something is under way then.

--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -177,19 +177,24 @@
         await self._peer_exchange.announce_stop()
         await self._wait_until_idle(shutdown)
         await self._mesh_server.end(shutdown.end_at)
+        # Callers may have sent requests meanwhile, which other daemons run.
+        await self._wait_until_idle(shutdown)
         self._record_stop(time.monotonic() - began_at)
 
     async def _wait_until_idle(
         self, shutdown: shutdown_module.Shutdown
     ) -> None:
         """Waits until callers have left and calls have ended, or the limit."""
-        while (now := time.monotonic()) < shutdown.end_at:
+        while True:
+            now = time.monotonic()
             is_idle = (
                 not self._caller_server.busy_connections
                 and not self._local_upstream.running
             )
             if is_idle and now >= shutdown.notice_until:
                 return
+            if now >= shutdown.end_at:
+                break
             await anyio.sleep(STOP_CHECK_PERIOD_S)
         loguru.logger.warning(
             "shutdown limit reached: {} connections and {} calls are cut off",
