Parse requests that are sent ahead only while there is room for them

Cause: a read of 256 kB holds some 8,500 small requests, and the bound of 16 that wait stopped the next read but not the parser. Change: the reader parses 4 kB at a time and stops at the bound; the rest counts in the memory, holds the reading, and is parsed once all else has run that is due.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -16,8 +16,6 @@
 from rattangauge.http import pacing
 from rattangauge.http import parsing
 
-# Number of waiting requests at which the server stops reading a connection.
-MAX_WAITING_REQUESTS = 16
 # Maximum number of requests of one connection that are handled at a time.
 MAX_CONCURRENT = 16
 # Methods of requests that change nothing (RFC 9110, section 9.2.1).
@@ -148,6 +146,7 @@
         self._linger_unsent_bytes = 0
         self._linger_unsent_at = 0.0
         self._has_sent_continue = False
+        self._is_parse_due = False
         self._timeout_at = math.inf
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
@@ -155,7 +154,9 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request has begun to arrive and is not answered wholly."""
-        has_more = self._reader.has_begun or bool(self._reader.requests)
+        reader = self._reader
+        has_more = reader.has_begun or reader.has_unparsed
+        has_more = has_more or bool(reader.requests)
         return bool(self._running) or has_more or self.unsent_bytes > 0
 
     @property
@@ -185,11 +186,8 @@
             self._record_crossing()
             self._pacer.record_read(len(data))
             return
-        had_begun = self._reader.has_begun
-        had_headers = self._reader.has_headers
-        self._feed_reader(data)
-        self._start_requests()
-        self._handle_progress(had_begun, had_headers)
+        self._parse(data)
+        self._pacer.record_read(len(data))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the requests of a caller that has disconnected."""
@@ -253,6 +251,20 @@
         self._reader.requests.clear()
         self._start_requests()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes and starts the requests in them."""
+        had_begun = self._reader.has_begun
+        had_headers = self._reader.has_headers
+        self._feed_reader(data)
+        self._start_requests()
+        self._handle_progress(had_begun, had_headers)
+
+    def _parse_rest(self) -> None:
+        """Parses bytes that waited for room among the waiting requests."""
+        self._is_parse_due = False
+        if self._error is None and not self._is_ending:
+            self._parse(b"")
+
     def _feed_reader(self, data: bytes) -> None:
         """Feeds the parser; an error is kept until earlier requests end."""
         if not self._reader.has_begun:
@@ -263,7 +275,6 @@
         except parsing.MessageError as error:
             self._error = error
             self._reader.discard()
-        self._pacer.record_read(len(data))
 
     def _update_memory(self) -> None:
         """Counts the requests that are not handled yet."""
@@ -285,10 +296,19 @@
             self._reject(self._error)
 
     def _throttle_reading(self) -> None:
-        """Pauses reading while too many requests are waiting."""
+        """Pauses reading while too many requests are waiting.
+
+        If there is room for more of those that have been read, these are parsed
+        once all else has run that is due.
+        """
         if self._is_ending:
             return
-        self._pacer.hold(len(self._reader.requests) >= MAX_WAITING_REQUESTS)
+        has_room = len(self._reader.requests) < parsing.MAX_WAITING_REQUESTS
+        has_unparsed = self._reader.has_unparsed
+        self._pacer.hold(has_unparsed or not has_room)
+        if has_unparsed and has_room and not self._is_parse_due:
+            self._is_parse_due = True
+            asyncio.get_running_loop().call_soon(self._parse_rest)
 
     def _may_start(self, request: messages.Request) -> bool:
         """Tells whether a request may be handled together with earlier ones.
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -20,6 +20,12 @@
 # Complete responses that wait. An upstream sends one for each request, and a
 # faulty one any number.
 MAX_WAITING_RESPONSES = 16
+# Complete requests that wait, after which no more are parsed. Callers send
+# requests ahead.
+MAX_WAITING_REQUESTS = 16
+# Bytes of requests that are parsed at a time. Each request in them takes time,
+# however small it is.
+PIECE_BYTES = 4096
 
 
 class MessageError(Exception):
@@ -198,6 +204,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._headers_at = 0.0
         self._unfinished_bytes = 0
+        self._unparsed = b""
         self._now = 0.0
         self.requests: deque[messages.Request] = deque()
 
@@ -206,10 +213,15 @@
         """Whether the connection stays open after the last request."""
         return self._parser.should_keep_alive()
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes wait that have not been parsed."""
+        return bool(self._unparsed)
+
     @property
     def waiting_bytes(self) -> int:
-        """Memory of the complete requests that have not been removed."""
-        return sum(
+        """Memory of the requests that wait, whether or not they are parsed."""
+        return len(self._unparsed) + sum(
             MESSAGE_OVERHEAD_BYTES + len(request.body)
             for request in self.requests
         )
@@ -222,8 +234,13 @@
         expected = messages.find(self._headers, b"expect")
         return expected.lower() == b"100-continue"
 
+    def discard(self) -> None:
+        """Frees the memory of the bytes that are no complete request."""
+        super().discard()
+        self._unparsed = b""
+
     def feed(self, data: bytes, now: float) -> None:
-        """Parses received bytes.
+        """Parses received bytes, as ``advance`` does.
 
         Args:
             data: The bytes.
@@ -232,6 +249,24 @@
         Raises:
             MessageError: They are not valid HTTP or exceed a limit.
         """
+        self._unparsed += data
+        self.advance(now)
+
+    def advance(self, now: float) -> None:
+        """Parses the bytes that wait until ``MAX_WAITING_REQUESTS`` do.
+
+        Args:
+            now: Time on the clock of ``time.monotonic``, in seconds.
+
+        Raises:
+            MessageError: They are not valid HTTP or exceed a limit.
+        """
+        while self._unparsed and len(self.requests) < MAX_WAITING_REQUESTS:
+            piece = self._unparsed[:PIECE_BYTES]
+            self._unparsed = self._unparsed[PIECE_BYTES:]
+            self._parse(piece, now)
+
+    def _parse(self, data: bytes, now: float) -> None:
         self._now = now
         complete_count = len(self.requests)
         self._feed(self._parser, data)
