Answer requests that have arrived unread when idle connections close

Cause: a server that ends closed an idle connection in the turn in which it found it idle, though a request could have come since the event loop last read.

Change: before the close it asks the kernel whether bytes have arrived at any of these connections, and goes on if so. Only bytes that are still on their way can cross the close now.

Measured: the new test fails without the change on both event loops.

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import math
+import select
 import socket
 import time
 from typing import Any
@@ -222,7 +223,11 @@
 
     def _is_idle(self) -> bool:
         """Tells whether no request is expected or without its answer."""
-        return not any(c.is_busy or c.is_new for c in self._connections)
+        if any(c.is_busy or c.is_new for c in self._connections):
+            return False
+        return not _has_unread(
+            [c for c in self._connections if not c.is_ending]
+        )
 
     def add(self, connection: "_Connection") -> None:
         """Adds a new connection."""
@@ -242,6 +247,15 @@
         self._lingering.pop(connection, None)
 
 
+def _has_unread(connections: "list[_Connection]") -> bool:
+    """Tells whether bytes have arrived that the event loop has not read yet."""
+    poll = select.poll()
+    for connection in connections:
+        if connection.descriptor >= 0:
+            poll.register(connection.descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class _RunningRequest:
     """A request that is being handled.
 
@@ -288,6 +302,17 @@
         has_more = self._reader.has_begun or bool(self._reader.requests)
         return bool(self._running) or has_more or self.unsent_bytes > 0
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether no further request is read."""
+        return self._is_ending or self._transport.is_closing()
+
+    @property
+    def descriptor(self) -> int:
+        """File descriptor of the socket; negative once it is closed."""
+        number: int = self._transport.get_extra_info("socket").fileno()
+        return number
+
     @property
     def is_new(self) -> bool:
         """Whether its first request may be under way."""
--- a/tests/test_server_end.py
+++ b/tests/test_server_end.py
@@ -189,6 +189,22 @@
         assert time.monotonic() - began < 0.05
 
 
+async def test_a_request_that_has_arrived_unread_is_answered(monkeypatch):
+    """Guards against a close in the turn in which a request arrives."""
+    async with serving(answer) as (server, port):
+        raw = connected(port)
+        raw.send(REQUEST)
+        await anyio.sleep(server_module.FIRST_REQUEST_S + 0.1)
+        assert raw.recv(1000).startswith(b"HTTP/1.1 200 ")
+
+        async def send():
+            raw.send(REQUEST)
+
+        monkeypatch.setattr(server._acceptor, "stop", send)
+        await server.end(time.monotonic() + LIMIT_S)
+        assert (await read_all(raw)).startswith(b"HTTP/1.1 200 ")
+
+
 async def test_a_request_that_crosses_the_close_is_recorded():
     """Guards against an end without an answer that leaves no line."""
     cuts = []
