--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -12,6 +12,7 @@
 
 from rattangauge import futures
 from rattangauge import receivememory
+from rattangauge.http import limits as limits_module
 from rattangauge.http import messages
 from rattangauge.http import pacing
 from rattangauge.http import parsing
@@ -30,27 +31,6 @@
 # Time in which a new connection brings its first request. A server that ends
 # waits for it.
 FIRST_REQUEST_S = 0.2
-# Limit of a request beside its headers and body. A caller may send a body of
-# 800 kB in chunks of one byte.
-FRAMING_BYTES = 4 * 1024 * 1024
-
-
-class Limits(NamedTuple):
-    """Limits on what callers may send.
-
-    Attributes:
-        header_bytes: Maximum size of the headers.
-        body_bytes: Maximum size of a body.
-        header_s: Time within which the headers must arrive, in seconds.
-        idle_s: Time after which an idle connection is closed, in seconds.
-        body_s: Longest time between two pieces of a body, in seconds.
-    """
-
-    header_bytes: int = 32_768
-    body_bytes: int = 64 * 1024 * 1024
-    header_s: float = 10.0
-    idle_s: float = 60.0
-    body_s: float = 30.0
 
 
 class Cut(NamedTuple):
@@ -75,7 +55,7 @@
     """What a connection needs of its server."""
 
     @property
-    def limits(self) -> Limits:
+    def limits(self) -> limits_module.Limits:
         """Limits in force."""
 
     @property
@@ -102,13 +82,6 @@
         """Removes a connection that has ended."""
 
 
-def _message_limits(limits: Limits) -> parsing.MessageLimits:
-    """Returns the limits of one request."""
-    return parsing.MessageLimits(
-        limits.header_bytes, limits.body_bytes, FRAMING_BYTES
-    )
-
-
 class _RunningRequest:
     """A request that is being handled.
 
@@ -159,6 +132,17 @@
         has_more = has_more or bool(reader.requests)
         return bool(self._running) or has_more or self.unsent_bytes > 0
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether no further request is read."""
+        return self._is_ending or self._transport.is_closing()
+
+    @property
+    def descriptor(self) -> int:
+        """File descriptor of the socket; negative once it is closed."""
+        number: int = self._transport.get_extra_info("socket").fileno()
+        return number
+
     @property
     def is_new(self) -> bool:
         """Whether its first request may be under way."""
@@ -175,7 +159,9 @@
         limits = self._server.limits
         self._transport: Any = transport
         self._pacer = pacing.ReadPacer(transport)
-        self._reader = parsing.RequestReader(_message_limits(limits))
+        self._reader = parsing.RequestReader(
+            limits_module.message_limits(limits)
+        )
         self._server.add(self)
         self._set_timeout(limits.idle_s)
 
@@ -269,7 +255,9 @@
         """Feeds the parser; an error is kept until earlier requests end."""
         if not self._reader.has_begun:
             # The limits may have changed since the last request.
-            self._reader.set_limits(_message_limits(self._server.limits))
+            self._reader.set_limits(
+                limits_module.message_limits(self._server.limits)
+            )
         try:
             self._reader.feed(data, time.monotonic())
         except parsing.MessageError as error:
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import select
 import socket
 import time
 
@@ -16,6 +17,7 @@
 from rattangauge import receivememory
 from rattangauge.http import acceptor
 from rattangauge.http import callerconnection
+from rattangauge.http import limits as limits_module
 from rattangauge.http import messages
 
 # Connections that linger at a time; beyond it the earliest are closed.
@@ -28,7 +30,7 @@
 CROSSING_S = 0.05
 
 Cut = callerconnection.Cut
-Limits = callerconnection.Limits
+Limits = limits_module.Limits
 
 # Returns the response to a request; cancelled if the caller disconnects.
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
@@ -157,7 +159,11 @@
 
     def _is_idle(self) -> bool:
         """Tells whether no request is expected or without its answer."""
-        return not any(c.is_busy or c.is_new for c in self._connections)
+        if any(c.is_busy or c.is_new for c in self._connections):
+            return False
+        return not _has_unread(
+            [c for c in self._connections if not c.is_ending]
+        )
 
     def add(self, connection: callerconnection.Connection) -> None:
         """Adds a new connection."""
@@ -175,3 +181,12 @@
         """Removes a connection that has ended."""
         self._connections.discard(connection)
         self._lingering.pop(connection, None)
+
+
+def _has_unread(connections: list[callerconnection.Connection]) -> bool:
+    """Tells whether bytes have arrived that the event loop has not read yet."""
+    poll = select.poll()
+    for connection in connections:
+        if connection.descriptor >= 0:
+            poll.register(connection.descriptor, select.POLLIN)
+    return bool(poll.poll(0))
