Answer a request whose handler fails with an unexpected error

Callers saw: a closed connection without an answer, for all requests on it, or none at all for ever where the handler waited for a cancelled future (LOST). Cause: the connection was closed after an Exception, and CancelledError is none. Change: such a request is answered with 500 and the connection goes on. Measured: 4 of 4 new cases fail before and pass with the change; test_http_server and test_closed_transports pass.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -21,6 +21,8 @@
 MAX_CONCURRENT = 16
 # Methods of requests that change nothing (RFC 9110, section 9.2.1).
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+# Status after an unexpected error: the request may have run.
+UNEXPECTED_ERROR_STATUS = 500
 # A connection is aborted if the caller reads no response for this time.
 SEND_TIMEOUT_S = 10.0
 # After the last response a connection is closed for sending only. What still
@@ -319,14 +321,30 @@
         body_bytes = len(running.request.body)
         memory.pin(body_bytes)
         try:
-            running.response = await self._server.handle(running.request)
+            running.response = await self._response_to(running.request)
             self._send_responses()
-        except Exception:  # an error in one request must not end the daemon
-            loguru.logger.exception("unexpected error in a request handler")
-            self.close("unexpected error in a request handler")
         finally:
             memory.unpin(body_bytes)
 
+    async def _response_to(
+        self, request: messages.Request
+    ) -> messages.Response:
+        """Returns the handler's response; 500 after an unexpected error.
+
+        A cancelled future raises CancelledError in the handler that waits for
+        it, though nothing has cancelled the handler.
+        """
+        task = asyncio.current_task()
+        try:
+            return await self._server.handle(request)
+        except asyncio.CancelledError:
+            if task is None or task.cancelling():
+                raise
+            loguru.logger.error("a request handler awaits a cancelled future")
+        except Exception:  # an error in one request must not end the daemon
+            loguru.logger.exception("unexpected error in a request handler")
+        return messages.Response(UNEXPECTED_ERROR_STATUS)
+
     def _send_responses(self) -> None:
         """Sends the finished responses in the order of the requests."""
         while self._running and not self._is_ending and not self._is_paused:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,6 @@
 """HTTP server with callers that send given bytes."""
 
+import asyncio
 import contextlib
 import socket
 import struct
@@ -434,6 +435,32 @@
     assert not caplog.records
 
 
+async def raise_error(_request):
+    """Fails with an error that nobody expects."""
+    raise RuntimeError("for the test")
+
+
+async def await_cancelled_future(_request):
+    """Fails as a handler does that waits for a future of another one."""
+    future = asyncio.get_running_loop().create_future()
+    future.cancel()
+    await future
+
+
+@pytest.mark.parametrize("fail", [raise_error, await_cancelled_future])
+async def test_an_unexpected_error_of_a_handler_is_answered(fail):
+    """Guards against requests that get no answer, or that hang for ever."""
+    async with serving(fail) as (server, connect):
+        stream = await connect()
+        for _ in range(2):
+            await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            with anyio.fail_after(1):
+                answer = await stream.receive()
+            assert answer.startswith(b"HTTP/1.1 500 ")
+        assert server.busy_connections == 0
+        await stream.aclose()
+
+
 async def test_held_bodies_are_counted_while_they_arrive():
     """Guards against incomplete bodies that use up the memory uncounted."""
     async with serving(echo) as (server, connect):
