Accept what waits before the port for other daemons closes

Callers saw: a call on a connection that another daemon had just opened ended as possibly run, so an unsafe request got 502 (LOST, the same cause as at the callers' port). Cause: connections in the kernel's queue are reset when the listening socket closes. Change: the mesh server uses the acceptor of the callers' server. Measured: the new case fails before on the event loop of asyncio (it passed there on uvloop) and passes with the change; test_ending_connections passes.

--- a/rattangauge/net/meshserver.py
+++ b/rattangauge/net/meshserver.py
@@ -1,6 +1,5 @@
 """Server for the mesh connections of other daemons."""
 
-import asyncio
 import socket
 import time
 
@@ -10,6 +9,7 @@
 from rattangauge import settings as settings_module
 from rattangauge import supervision
 from rattangauge import util
+from rattangauge.http import acceptor
 from rattangauge.net import connection_monitor
 from rattangauge.net import connections
 
@@ -41,18 +41,15 @@
         """
         self._handler = handler
         self._monitor = connection_monitor.ConnectionMonitor(silence_s, record)
-        self._server: asyncio.Server | None = None
+        self._acceptor = acceptor.Acceptor(self._make_connection)
 
     async def serve(self, listener: socket.socket) -> None:
         """Serves a listening socket until cancelled; closes it then."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_connection, sock=listener, backlog=util.LISTEN_BACKLOG
-        )
+        await self._acceptor.start(listener)
         try:
             await self._monitor.run()
         finally:
-            self._server.close()
+            self._acceptor.close()
 
     def _make_connection(self) -> connections.Connection:
         return connections.Connection(self._monitor, self._handler)
@@ -66,10 +63,7 @@
         Args:
             end_at: Monotonic time in seconds at which streams are cut off.
         """
-        if self._server is not None:
-            self._server.close()
-        # The event loop makes the connections that were accepted last.
-        await anyio.sleep(END_CHECK_PERIOD_S)
+        await self._acceptor.stop()
         ending = self._monitor.connections
         began_at = time.monotonic()
         lost_by = max(end_at, began_at + MIN_LINGER_S)
--- a/tests/test_ending_connections.py
+++ b/tests/test_ending_connections.py
@@ -1,5 +1,6 @@
 """Connections between daemons of which one is stopped (LOST, TWICE)."""
 
+import socket
 import time
 
 import anyio
@@ -238,6 +239,30 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_connections_that_wait_in_the_kernel_are_ended_in_order():
+    """Guards against calls that count as possibly run because of a reset."""
+
+    async def handle(_stream, _message):
+        raise AssertionError("there is no call")
+
+    listener = util.listen("127.0.0.1")
+    address = listener.getsockname()
+    server = meshserver.MeshServer(handle, 2.0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, listener)
+        await anyio.sleep(0.1)
+        waiting = [socket.create_connection(address) for _ in range(20)]
+        tasks.start_soon(server.end, time.monotonic() + 1.0)
+        await anyio.sleep(0.2)
+        end = frames.pack(0, messages.LinkEnd(0))
+        for connection in waiting:
+            connection.settimeout(1.0)
+            assert connection.recv(1000) == end
+            assert not connection.recv(1000)
+            connection.close()
+        tasks.cancel_scope.cancel()
+
+
 def hold_reading(instance):
     """Stops a daemon from reading what other daemons send."""
     monitor = instance.node._mesh_server._monitor
