Add a soak of real daemon processes under seeded faults

Cause: the chaos run starts the project's other daemon, so no run showed the daemon of the deploy file as processes beside faults that overlap. The relay cuts one way; stand-ins of upstreams restart and drain.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 RUN = PYTHONPATH=. $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: build install test demo generate format bench bench-quick chaos mutations
+.PHONY: build install test demo generate format bench bench-quick chaos soak \
+	mutations
 
 install: $(VENV)/installed
 
@@ -38,6 +39,9 @@
 chaos: install
 	$(RUN) tools/chaos.py --seed $(SEED)
 
+soak: install build
+	$(RUN) tools/soak.py --seed $(SEED)
+
 bench: install
 	$(RUN) benchmarks/run.py --seed $(SEED)
 
--- a/standins/appworker.py
+++ b/standins/appworker.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 
 import anyio
 import anyio.abc
@@ -47,6 +48,7 @@
         self.peak = 0
         self.cancelled = 0
         self.address = ""
+        self._scope = anyio.CancelScope()
         self._work_s = work_s
         self.behaviour: Behaviour = self._work
 
@@ -68,8 +70,19 @@
             self.cancelled += not is_whole
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts to serve on a free port of the loopback address."""
-        listener = util.listen("127.0.0.1")
-        port = listener.getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        tasks.start_soon(server_module.Server(self._handle).serve, listener)
+        """Starts to serve at its address, by default at a free port."""
+        host, port = util.parse_address(self.address or "127.0.0.1:0")
+        listener = util.listen(host, port)
+        self.address = f"{host}:{listener.getsockname()[1]}"
+        self._scope = anyio.CancelScope()
+        tasks.start_soon(self._serve, listener, self._scope)
+
+    async def _serve(
+        self, listener: socket.socket, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
+            await server_module.Server(self._handle).serve(listener)
+
+    def stop(self) -> None:
+        """Closes the port and all connections, as a process that ends."""
+        self._scope.cancel()
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -14,6 +14,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import contextlib
 import enum
 import json
@@ -54,6 +55,8 @@
     BLACK_HOLE = "black_hole"
     # Never again passes a byte on connections open now; new ones work.
     FREEZE_OPEN = "freeze_open"
+    # Passes what the opener of a connection sends; the rest arrives late.
+    ONE_WAY = "one_way"
 
 
 class Route(NamedTuple):
@@ -109,9 +112,18 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def hold(self, relayed: "Relayed") -> None:
-        """Waits until a piece of a connection may pass."""
-        while relayed.frozen or self._mode is Mode.BLACK_HOLE:
+    async def hold(self, relayed: "Relayed", is_back: bool = False) -> None:
+        """Waits until a piece of a connection may pass.
+
+        Args:
+            relayed: The connection.
+            is_back: Whether the piece goes to the opener of the connection.
+        """
+        while (
+            relayed.frozen
+            or self._mode is Mode.BLACK_HOLE
+            or (is_back and self._mode is Mode.ONE_WAY)
+        ):
             await self._changed.wait()
         if self._delay_s > 0:
             await anyio.sleep(self._delay_s)
@@ -154,8 +166,8 @@
     async def _pass_both(self, onward: anyio.abc.SocketStream) -> None:
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, self._peer, onward, tasks)
-                tasks.start_soon(self._pump, onward, self._peer, tasks)
+                tasks.start_soon(self._pump, self._peer, onward, tasks, False)
+                tasks.start_soon(self._pump, onward, self._peer, tasks, True)
         finally:
             await _close_with_reset(onward)
 
@@ -164,16 +176,17 @@
         source: anyio.abc.SocketStream,
         sink: anyio.abc.SocketStream,
         tasks: anyio.abc.TaskGroup,
+        is_back: bool,
     ) -> None:
         try:
             while True:
                 piece = await source.receive()
-                await self._pair.hold(self)
+                await self._pair.hold(self, is_back)
                 await sink.send(piece)
                 self._pair.counters["bytes"] += len(piece)
         except anyio.EndOfStream:
             with contextlib.suppress(*_BROKEN):
-                await self._pair.hold(self)
+                await self._pair.hold(self, is_back)
                 await sink.send_eof()
         except _BROKEN:
             tasks.cancel_scope.cancel()
@@ -189,9 +202,19 @@
 class Relay:
     """All routes and pairs of the relay."""
 
-    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Creates a relay whose routes are served in a task group."""
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        zone_of_peer: Callable[[str], int] = zone_of,
+    ) -> None:
+        """Creates a relay.
+
+        Args:
+            tasks: Task group that serves the routes.
+            zone_of_peer: Returns the zone of a peer's address.
+        """
         self._tasks = tasks
+        self._zone_of_peer = zone_of_peer
         self._pairs: dict[tuple[int, int], Pair] = {}
 
     def pair(self, source: int, destination: int) -> Pair:
@@ -209,7 +232,7 @@
             source = route.source
             if source is None:
                 address = peer.extra(anyio.abc.SocketAttribute.remote_address)
-                source = zone_of(address[0])
+                source = self._zone_of_peer(address[0])
             pair = self.pair(source, route.destination)
             if pair.mode is Mode.CUT:
                 pair.counters["refused"] += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -96,6 +96,19 @@
         assert await stream.receive() == b"x"
 
 
+async def test_one_way_holds_back_only_what_comes_back(bench):
+    """Guards against a cut in one direction that cuts both or none."""
+    stream = await bench.connect()
+    assert await passes(stream)
+    bench.set_fault("one_way")
+    sent_before = bench.relay.pair(1, 2).counters["bytes"]
+    assert not await passes(stream)
+    assert bench.relay.pair(1, 2).counters["bytes"] == sent_before + 1
+    bench.set_fault("pass")
+    with anyio.fail_after(10):
+        assert await stream.receive() == b"x"
+
+
 async def test_fleet_runs_through_the_relay():
     """Guards against mesh or platform traffic that evades the relay."""
     async with fleet_module.fleet(relayed=True) as fleet:
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -7,11 +7,14 @@
 
 import argparse
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import itertools
 import sys
 import traceback
+from typing import NamedTuple
 
 import anyio
 import httpx
@@ -251,6 +254,17 @@
     )
 
 
+class Judgement(NamedTuple):
+    """What a run showed, in one line, and its violations."""
+
+    summary: str
+    violations: list[invariants.Violation]
+
+
+# Runs a schedule and judges it.
+Judge = Callable[[tuple[schedule.Fault, ...]], Awaitable[Judgement]]
+
+
 def _print_failure(
     seed: int,
     faults: tuple[schedule.Fault, ...],
@@ -266,27 +280,45 @@
 
 
 async def run(options: argparse.Namespace) -> int:
-    """Runs the schedule of a seed and returns the exit code.
+    """Runs the schedule of a seed and returns the exit code."""
+    seed = options.seed
+    faults = schedule.generate(seed, options.slots, len(WORKERS), ZONES)
+
+    async def judge(faults: tuple[schedule.Fault, ...]) -> Judgement:
+        history = await run_schedule(seed, faults)
+        return Judgement(describe(history), invariants.check(history))
+
+    return await run_judged(options, faults, judge)
+
+
+async def run_judged(
+    options: argparse.Namespace,
+    faults: tuple[schedule.Fault, ...],
+    judge: Judge,
+) -> int:
+    """Runs a schedule and returns the exit code.
 
     0 means no violation, 1 violations, and 2 that a run did not come to its
     end, so that nothing was judged.
     """
     try:
-        return await _run(options)
+        return await _run(options, faults, judge)
     except* (TimeoutError, httpx.HTTPError, errors.CodedError) as group:
         traceback.print_exception(group)
     print(f"seed {options.seed}: the run was not judged", flush=True)
     return EXIT_NOT_JUDGED
 
 
-async def _run(options: argparse.Namespace) -> int:
+async def _run(
+    options: argparse.Namespace,
+    faults: tuple[schedule.Fault, ...],
+    judge: Judge,
+) -> int:
     seed = options.seed
-    faults = schedule.generate(seed, options.slots, len(WORKERS), ZONES)
     for fault in faults:
         print(fault, flush=True)
-    history = await run_schedule(seed, faults)
-    print(describe(history), flush=True)
-    violations = invariants.check(history)
+    summary, violations = await judge(faults)
+    print(summary, flush=True)
     if not violations:
         print(f"seed {seed}: no violation")
         return EXIT_OK
@@ -296,7 +328,7 @@
     async def fails(shorter: tuple[schedule.Fault, ...]) -> bool:
         nonlocal violations
         try:
-            found = invariants.check(await run_schedule(seed, shorter))
+            found = (await judge(shorter)).violations
         except* (TimeoutError, httpx.HTTPError, errors.CodedError):
             # Such a run shows nothing of the violations that are looked for.
             found = []
--- a/tools/platformfleet.py
+++ b/tools/platformfleet.py
@@ -35,11 +35,14 @@
 HEARTBEAT_PERIOD_S = 0.5
 START_TIMEOUT_S = 20.0
 POLL_PERIOD_S = 0.01
+# Start of the first upstream of a machine, in milliseconds since 1970.
+FIRST_BOOT_MS = 1000
 
 _ports = itertools.count(FIRST_PORT)
 
 
-def _free_port(host: str) -> int:
+def free_port(host: str) -> int:
+    """Returns a port of a loopback address that nothing uses."""
     for port in _ports:
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((host, port))
@@ -58,6 +61,8 @@
         settings: Settings of the daemon by section and key.
         upstream: Stand-in of the upstream.
         process: The newest daemon process; None before the first start.
+        state: State that the upstream announces.
+        boot: Number of the start of the upstream.
     """
 
     def __init__(
@@ -75,12 +80,14 @@
         self.service = service
         self.host = host
         purposes = ("callers", "mesh", "operators", "ready", "control")
-        self.ports = {purpose: _free_port(host) for purpose in purposes}
+        self.ports = {purpose: free_port(host) for purpose in purposes}
         self.settings: dict[str, dict[str, Any]] = {}
         self.upstream = appworker.AppWorker()
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0
         self.sends_heartbeats = True
+        self.state = "ready"
+        self.boot = 0
         self._folder = folder
         self._sequence = 0
 
@@ -94,6 +101,11 @@
         """File that gets the standard output and error of the daemon."""
         return self._folder / f"{self.name}.log"
 
+    @property
+    def upstream_id(self) -> str:
+        """Id of the upstream; each start of an upstream has its own."""
+        return f"i-{self.name}" + (f"-{self.boot}" if self.boot else "")
+
     @property
     def is_running(self) -> bool:
         """Whether the newest daemon process has not ended."""
@@ -106,7 +118,10 @@
     def write_settings(self) -> None:
         """Writes the settings file."""
         text = fleet_module.format_settings(self.settings)
-        self.settings_path.write_text(text)
+        # A daemon may read the settings at any moment.
+        whole = self.settings_path.with_suffix(".new")
+        whole.write_text(text)
+        whole.replace(self.settings_path)
 
     def start(self, **options: Any) -> subprocess.Popen[bytes]:
         """Starts a daemon; options are those of ``subprocess.Popen``."""
@@ -157,7 +172,7 @@
         self._sequence += 1
         return {
             "address": self.upstream.address,
-            "born": 1000,
+            "born": FIRST_BOOT_MS + self.boot,
             "info": {
                 "service": self.service,
                 "version": "v1",
@@ -165,7 +180,7 @@
                 "slots": 18,
             },
             "status": {
-                "state": "ready",
+                "state": self.state,
                 "seq": self._sequence,
                 "cold-left-s": 0,
             },
@@ -208,6 +223,7 @@
         """Adds a machine and starts its upstream, but not its daemon."""
         host = f"{self._network}.{len(self.machines) + 1}"
         machine = Machine(name, service, host, self._folder)
+        machine.upstream.address = f"{host}:{free_port(host)}"
         await machine.upstream.start(self._tasks)
         listen = {
             purpose: machine.address(purpose) for purpose in machine.ports
@@ -285,16 +301,22 @@
 
     async def _send_heartbeats(self, machine: Machine) -> None:
         """Sends the heartbeats of an upstream; a daemon may be down."""
-        url = (
-            f"http://{machine.address('control')}"
-            f"/instances/i-{machine.name}/heartbeat"
-        )
         while True:
             if machine.sends_heartbeats:
-                with contextlib.suppress(httpx.HTTPError):
-                    await self._client.post(url, json=machine.heartbeat())
+                await self.announce(machine, "heartbeat", machine.heartbeat())
             await anyio.sleep(HEARTBEAT_PERIOD_S)
 
+    async def announce(
+        self, machine: Machine, action: str, body: dict[str, Any]
+    ) -> None:
+        """Sends a heartbeat or a departure of the upstream of a machine."""
+        url = (
+            f"http://{machine.address('control')}"
+            f"/instances/{machine.upstream_id}/{action}"
+        )
+        with contextlib.suppress(httpx.HTTPError):
+            await self._client.post(url, json=body)
+
     def end_processes(self) -> None:
         """Kills the daemons that this fleet started and that still run."""
         for process in self._started:
--- a/tools/schedule.py
+++ b/tools/schedule.py
@@ -35,6 +35,11 @@
 FAULTS_PER_SLOT = 2
 MIN_LENGTH_S = 1.5
 MAX_LENGTH_S = 4.0
+# Series of faults at a time, and the most faults of one series.
+PARALLEL_SERIES = 3
+MAX_SERIES = 4
+# Least and greatest length of a fault of a series.
+SERIES_LENGTHS_S = (0.5, 3.0)
 
 
 class Fault(NamedTuple):
@@ -101,6 +106,41 @@
     return tuple(faults)
 
 
+def generate_series(
+    seed: int, slots: int, targets: int, kinds: tuple[str, ...]
+) -> tuple[Fault, ...]:
+    """Returns series of faults that overlap; the same seed gives the same.
+
+    A series repeats one kind on one target or on one target after the other.
+    Faults begin in their slots and may last into the next ones.
+
+    Args:
+        seed: Seed of all choices.
+        slots: Number of slots.
+        targets: Number of targets; the second target may also be 0, which is
+            none of them, or the number of a target plus one.
+        kinds: Kinds of faults.
+
+    >>> generate_series(1, 9, 4, KINDS) == generate_series(1, 9, 4, KINDS)
+    True
+    """
+    source = random.Random(seed)
+    faults = []
+    for _ in range(PARALLEL_SERIES):
+        slot = source.randrange(MAX_SERIES)
+        while slot < slots:
+            kind = source.choice(kinds)
+            target, step = source.randrange(targets), source.randrange(2)
+            for _ in range(source.randint(1, MAX_SERIES)):
+                places = [n for n in range(targets + 1) if n != target + 1]
+                length_s = round(source.uniform(*SERIES_LENGTHS_S), 1)
+                other = source.choice(places)
+                faults.append(Fault(slot, kind, target, other, length_s))
+                slot += source.randint(1, 2)
+                target = (target + step) % targets
+    return tuple(sorted(fault for fault in faults if fault.slot < slots))
+
+
 # Runs a schedule and tells whether it still fails.
 Fails = Callable[[tuple[Fault, ...]], Awaitable[bool]]
 
