Keep logs and violations of a soak, let large fleets start

Cause: a failing run left nothing to trace it by, and starts of many daemons at a time counted as daemons that are not ready. Measured: a run with upstreams that run twice, refuse what ran or answer with another body is caught as TWICE, REFUSED and MIXED (tests/test_soak.py).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,14 @@
 """The soak: its checks against bad histories, and a short run."""
 
 import contextlib
+import itertools
 
 import anyio
 import h11
 import pytest
 
 from rattangauge.http import messages
+from standins import appworker
 from standins import caller
 from standins import connection as connection_module
 from tools import chaos
@@ -239,6 +241,35 @@
     assert await soak.run(options) == code
 
 
+async def test_a_run_catches_upstreams_that_break_the_promises(monkeypatch):
+    """Guards against checks that real processes never reach."""
+    honest = soakcallers.Record.behaviour
+    numbers = itertools.count()
+
+    def dishonest(record, machine):
+        run = honest(record, machine)
+
+        async def behave(request):
+            response = await run(request)
+            way = next(numbers) % 4
+            if way == 0:
+                record.runs[request.header(b"request-id").decode()] += 1
+            elif way == 1:
+                return appworker.not_run(request)
+            elif way == 2:
+                return response._replace(body=b"the body of another")
+            return response
+
+        return behave
+
+    monkeypatch.setattr(soakcallers.Record, "behaviour", dishonest)
+    options = soak.parse_arguments(["--machines", "2"])
+    faults = (schedule.Fault(3, "publish", 0, 0, 0.5),)
+    violations = (await soak.judge(options, faults)).violations
+    rules = {violation.rule for violation in violations}
+    assert rules >= {"TWICE", "REFUSED", "MIXED"}
+
+
 async def test_a_short_run_has_no_violation():
     """Guards against faults of real processes that overlapping faults show."""
     options = soak.parse_arguments(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import collections
+import contextlib
 import functools
 import pathlib
 import shutil
@@ -31,6 +32,8 @@
 SLOTS = 40
 SLOT_S = 1.0
 HEAL_S = 20.0
+# Time that all daemons together may need to start, for each of them.
+START_PER_MACHINE_S = 0.3
 # Time in which requests that are still under way reach an upstream.
 LATE_RUNS_S = 1.0
 # Time that a run may take beyond that of its slots.
@@ -71,9 +74,11 @@
             self._fleet, self._daemons, self._relay, self._tasks
         )
         actions.publish()
-        for name in self._fleet.machines:
-            self._daemons.start(name)
-        unserved = await self._wait_served()
+        # All start at once, which takes as long as the computer needs.
+        async with self._daemons.disturbed("", excuses=False):
+            for name in self._fleet.machines:
+                self._daemons.start(name)
+            unserved = await self._wait_served()
         if not unserved:
             async with anyio.create_task_group() as callers:
                 self._start_callers(callers)
@@ -145,10 +150,13 @@
         }
 
         async def wait(name: str, target: str) -> None:
-            await self._fleet.wait_served(name, target)
-            unserved.discard((name, target))
+            while (name, target) in unserved:
+                with contextlib.suppress(TimeoutError):
+                    await self._fleet.wait_served(name, target)
+                    unserved.discard((name, target))
 
-        with anyio.move_on_after(HEAL_S):
+        start_s = START_PER_MACHINE_S * len(self._fleet.machines)
+        with anyio.move_on_after(HEAL_S + start_s):
             async with anyio.create_task_group() as tasks:
                 for name, target in sorted(unserved):
                     tasks.start_soon(wait, name, target)
@@ -191,14 +199,24 @@
                 observed = await Run(fleet, options, tasks).run(faults)
                 tasks.cancel_scope.cancel()
         if options.logs is not None:
-            _keep_logs(fleet, options.logs / f"seed-{options.seed}")
+            _keep(fleet, observed, options.logs / f"seed-{options.seed}")
     return observed
 
 
-def _keep_logs(fleet: platformfleet.Fleet, folder: pathlib.Path) -> None:
+def _keep(
+    fleet: platformfleet.Fleet,
+    observed: soakchecks.Observed,
+    folder: pathlib.Path,
+) -> None:
+    """Keeps the logs of all daemons and the list of all violations."""
     folder.mkdir(parents=True, exist_ok=True)
     for machine in fleet.machines.values():
         shutil.copy(machine.log_path, folder)
+    lines = [
+        f"{found.rule} at {found.at_s:.3f} s: {found.subject}: {found.text}\n"
+        for found in soakchecks.check(observed)
+    ]
+    (folder / "violations.txt").write_text("".join(lines))
 
 
 def describe(observed: soakchecks.Observed) -> str:
@@ -247,7 +265,7 @@
     parser.add_argument(
         "--logs",
         type=pathlib.Path,
-        help="folder that gets the logs of the last run of the seed",
+        help="folder that gets logs and violations of the seed's last run",
     )
     return parser.parse_args(arguments)
 
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -208,12 +208,12 @@
         handle = self._fleet.start(name, stdout=writer)
         os.close(writer)
         process = Process(self._fleet.machines[name], handle)
-        before = self._newest.get(name)
+        earlier = [one for one in self.processes if one.machine.name == name]
         self._newest[name] = process
         self.processes.append(process)
         self._tasks.start_soon(_copy_output, reader, process)
         self._tasks.start_soon(self._watch, process)
-        self._tasks.start_soon(self._watch_start, process, before)
+        self._tasks.start_soon(self._watch_start, process, earlier)
 
     async def _watch(self, process: Process) -> None:
         """Waits for the end; kills a daemon that exceeds its grace period."""
@@ -228,10 +228,10 @@
             self.start(name)
 
     async def _watch_start(
-        self, process: Process, before: Process | None
+        self, process: Process, earlier: list[Process]
     ) -> None:
         """Measures how long a daemon needs until it is ready."""
-        while before is not None and before.ended_s is None:
+        while any(one.ended_s is None for one in earlier):
             await anyio.sleep(POLL_PERIOD_S)
         name = process.machine.name
         while process.ended_s is None and process.stopped_s is None:
