--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,6 +1,7 @@
 """Runs the daemon of the deploy file as processes under seeded faults.
 
 Series of faults overlap while callers use each connection until it is closed.
+Each run ends with a stop of all daemons at the same time.
 What callers, upstreams and processes showed is judged by ``tools.soakchecks``.
 A failing schedule is shortened within a bound of time and printed with the
 seed.
@@ -226,7 +227,8 @@
     return (
         f"{len(observed.calls)} requests ({counts}), "
         f"{len(observed.processes)} daemon processes, "
-        f"{len(observed.windows)} times that excuse requests"
+        f"{len(observed.windows)} times that excuse requests, "
+        "a stop of all daemons at the end"
     )
 
 
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -82,7 +82,6 @@
         was_killed: Whether a fault killed it.
         stopped_s: Time of SIGTERM, moved by pauses; None if there was none.
         ended_s: Time of the end; None while it runs.
-        is_ready: Whether it has been ready.
         unready_s: Time without a disturbance in which it was not ready yet.
         pauses: Number of pauses that hold it now.
     """
@@ -98,7 +97,6 @@
         self.was_killed = False
         self.stopped_s: float | None = None
         self.ended_s: float | None = None
-        self.is_ready = False
         self.unready_s = 0.0
         self.pauses = 0
         self._paused_s = 0.0
@@ -237,7 +235,6 @@
         while process.ended_s is None and process.stopped_s is None:
             begin_s = anyio.current_time()
             if await self._fleet.is_ready(name):
-                process.is_ready = True
                 return
             await anyio.sleep(POLL_PERIOD_S)
             if not self._disturbances[name] and not self._disturbances[""]:
