--- a/rattangauge/log.py
+++ b/rattangauge/log.py
@@ -1,6 +1,7 @@
 """Sets up the logs of the process."""
 
 import json
+import logging
 import sys
 from typing import Any
 
@@ -15,6 +16,9 @@
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[zone]}"
     "/{extra[instance]} {message} {extra[fields]}"
 )
+# Without the values of local variables: the text of a malformed message between
+# daemons cannot be formed, and the attempt aborts the process.
+_EXCEPTIONS: Any = {"diagnose": False, "backtrace": False}
 
 
 def _text_format(record: Any) -> str:
@@ -49,15 +53,37 @@
         }
     )
     if settings.log.json:
-        logger.add(sink, level=settings.log.level)
+        logger.add(sink, level=settings.log.level, **_EXCEPTIONS)
     else:
-        logger.add(sink, level=settings.log.level, format=_text_format)
+        logger.add(
+            sink,
+            level=settings.log.level,
+            format=_text_format,
+            **_EXCEPTIONS,
+        )
+
+
+class _ForwardingHandler(logging.Handler):
+    """Passes the records of the standard library's loggers on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs a record at its own level."""
+        try:
+            text = f"{record.name}: {record.getMessage()}"
+            exception = record.exc_info
+            logger.opt(exception=exception).log(record.levelname, text)
+        except Exception:  # the convention of logging for errors of handlers
+            self.handleError(record)
 
 
 def write_to(
     decisions: decisionlog.DecisionLog, settings: settings_module.Settings
 ) -> None:
-    """Writes the logs as messages of the decision log."""
+    """Writes the logs as messages of the decision log.
+
+    Those of libraries too: the default of these is standard error, where a
+    write blocks the event loop while nobody reads.
+    """
 
     def append_line(message: Any) -> None:
         record = message.record
@@ -67,4 +93,12 @@
         decisions.message(record["level"].name, text)
 
     logger.remove()
-    logger.add(append_line, level=settings.log.level, format="{message}")
+    logger.add(
+        append_line,
+        level=settings.log.level,
+        format="{message}",
+        **_EXCEPTIONS,
+    )
+    logging.basicConfig(
+        handlers=[_ForwardingHandler()], level=logging.WARNING, force=True
+    )
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -1,6 +1,7 @@
 """Creates and runs the daemon of one instance."""
 
 from collections.abc import Callable
+import socket
 import time
 
 import anyio
@@ -13,6 +14,7 @@
 from rattangauge import process_signals
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
+from rattangauge import supervision
 from rattangauge import util
 from rattangauge.calls import shutdown as shutdown_module
 from rattangauge.generated import logevents
@@ -24,6 +26,7 @@
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
+from rattangauge.net import listeners as listeners_module
 from rattangauge.net import meshserver
 from rattangauge.sidecar import configsync
 from rattangauge.sidecar import dispatch as dispatch_module
@@ -35,6 +38,10 @@
 # Time between two checks whether all requests have ended.
 STOP_CHECK_PERIOD_S = 0.05
 
+_LOG_LOOP = supervision.Loop("decision log")
+_RELOAD = supervision.Loop("reload at a signal")
+_STOP = supervision.Loop("announcement of the stop")
+
 BYTES_PER_MB = 1024 * 1024
 # Limits of the requests at all addresses but that for callers.
 SMALL_REQUESTS = server_module.Limits(body_bytes=65_536)
@@ -46,6 +53,8 @@
 ReadAnnouncement = Callable[[http_messages.Request], Announcement]
 # Reads the settings again and applies them.
 Reload = Callable[[], None]
+# Listening sockets by the address in the settings.
+Listeners = dict[str, socket.socket]
 
 
 class Node:
@@ -78,7 +87,7 @@
         """
         self._settings = settings
         self._read_announcement = read_announcement
-        self._links = connection_pool.Links(settings, tasks)
+        self._links = connection_pool.Links(settings, tasks, log.record)
         self._peers = peers_module.PeerTable(_own_member(settings))
         self._memory = receivememory.ReceiveMemory(
             int(settings.instance.memory_mb * BYTES_PER_MB)
@@ -123,24 +132,12 @@
     async def run(self) -> None:
         """Runs the daemon until ``stop`` is called.
 
-        Returns when the calls have ended or the time limit of the shutdown has
-        passed.
+        It begins as soon as all its addresses are free. Returns when the calls
+        have ended or the time limit of the shutdown has passed.
         """
-        listen = self._settings.listen
+        listeners = await self._open_listeners()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                meshserver.serve_mesh, self._handle_message, self._settings
-            )
-            _start_server(tasks, listen.callers, self._caller_server)
-            _start_server(
-                tasks, listen.ready, self._server(self._handle_readiness)
-            )
-            _start_server(
-                tasks, listen.control, self._server(self._handle_announcement)
-            )
-            _start_server(
-                tasks, listen.operators, self._server(_handle_metrics)
-            )
+            self._start_servers(tasks, listeners)
             tasks.start_soon(self._config_sync.run)
             tasks.start_soon(self._peer_exchange.run)
             loguru.logger.info("the daemon started")
@@ -149,6 +146,60 @@
             tasks.cancel_scope.cancel()
         loguru.logger.info("the daemon stopped")
 
+    async def _open_listeners(self) -> Listeners:
+        """Waits for the daemon's addresses and listens at them.
+
+        Returns:
+            Sockets by address; none if the daemon is stopped meanwhile.
+        """
+        listen = self._settings.listen
+        addresses = [
+            address
+            for address in (
+                listen.mesh,
+                listen.callers,
+                listen.ready,
+                listen.control,
+                listen.operators,
+            )
+            if address
+        ]
+        sockets: list[socket.socket] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_at_stop, tasks.cancel_scope)
+            sockets = await listeners_module.open_all(
+                [util.parse_address(address) for address in addresses]
+            )
+            tasks.cancel_scope.cancel()
+        return dict(zip(addresses, sockets, strict=False))
+
+    async def _cancel_at_stop(self, scope: anyio.CancelScope) -> None:
+        await self._stopping.wait()
+        scope.cancel()
+
+    def _start_servers(
+        self, tasks: anyio.abc.TaskGroup, listeners: Listeners
+    ) -> None:
+        """Starts a server at each address that has a socket."""
+        listen = self._settings.listen
+        servers = {
+            listen.callers: self._caller_server,
+            listen.ready: self._server(self._handle_readiness),
+            listen.control: self._server(self._handle_announcement),
+            listen.operators: self._server(_handle_metrics),
+        }
+        for address, listener in listeners.items():
+            if address == listen.mesh:
+                tasks.start_soon(
+                    meshserver.serve_socket,
+                    listener,
+                    self._handle_message,
+                    self._settings.mesh.silence_s,
+                    self._log.record,
+                )
+            else:
+                tasks.start_soon(servers[address].serve, listener)
+
     def _server(self, handler: server_module.Handler) -> server_module.Server:
         """Returns a server for small requests of the platform."""
         return server_module.Server(
@@ -171,7 +222,8 @@
         self._dispatcher.stop(shutdown)
         self._local_upstream.stop()
         self._caller_server.close_connections()
-        await self._peer_exchange.announce_stop()
+        announce = self._peer_exchange.announce_stop
+        await supervision.attempt(self._log.record, _STOP, announce)
         await self._wait_until_idle(shutdown)
         self._record_stop(time.monotonic() - began_at)
 
@@ -265,16 +317,6 @@
     )
 
 
-def _start_server(
-    tasks: anyio.abc.TaskGroup, address: str, server: server_module.Server
-) -> None:
-    """Starts a server at an address, unless the address is empty."""
-    if not address:
-        return
-    listener = util.listen(*util.parse_address(address))
-    tasks.start_soon(server.serve, listener)
-
-
 async def run(
     settings: settings_module.Settings,
     header_names: headernames.HeaderNames,
@@ -295,11 +337,13 @@
         reload: Reads the settings again; called at SIGHUP.
     """
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(log.run)
+        supervision.watch_callbacks(log.record)
+        tasks.start_soon(supervision.run, log.record, _LOG_LOOP, log.run)
         node = Node(
             settings, header_names, store, read_announcement, log, tasks
         )
-        tasks.start_soon(process_signals.handle, node.stop, reload)
+        guarded = supervision.guard(log.record, _RELOAD, reload)
+        tasks.start_soon(process_signals.handle, node.stop, guarded)
         await node.run()
         tasks.cancel_scope.cancel()
     log.flush()
