--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -20,7 +20,7 @@
 
 from rattangauge import futures
 from rattangauge import receivememory
-from rattangauge import util
+from rattangauge.http import acceptor
 from rattangauge.http import messages
 from rattangauge.http import pacing
 from rattangauge.http import parsing
@@ -33,10 +33,22 @@
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 # A connection is aborted if the caller reads no response for this time.
 SEND_TIMEOUT_S = 10.0
-# After an error response the connection stays open for this time and the rest
-# of the request is discarded. If it was closed at once, the caller could get a
-# reset instead of the response.
+# After the last response a connection is closed for sending only. What still
+# arrives is discarded for this time or until the caller closes it. If it was
+# closed at once, the caller could get a reset instead of the response (RFC
+# 9112, section 9.6).
 LINGER_S = 0.5
+# Connections that linger at a time; beyond it the earliest are closed.
+MAX_LINGERING = 256
+# Time in which a new connection brings its first request. A server that ends
+# waits for it.
+FIRST_REQUEST_S = 0.2
+# Time between two checks whether a server that ends may close its connections.
+END_CHECK_PERIOD_S = 0.01
+# Time for which a server that ends reads an idle connection after its own end
+# of it. A request that crosses this gets no answer, as HTTP/1.1 has no means
+# against it.
+CROSSING_S = 0.05
 # Limit of a request beside its headers and body. A caller may send a body of
 # 800 kB in chunks of one byte.
 FRAMING_BYTES = 4 * 1024 * 1024
@@ -120,8 +132,11 @@
         self._limits = limits
         self._is_closing = False
         self._connections: set[_Connection] = set()
+        # Those that linger, in the order in which they began to.
+        self._lingering: dict[_Connection, None] = {}
         self._memory = memory or receivememory.ReceiveMemory()
         self._record_cut = record_cut
+        self._acceptor = acceptor.Acceptor(lambda: _Connection(self))
 
     @property
     def limits(self) -> Limits:
@@ -135,12 +150,15 @@
 
     @property
     def is_closing(self) -> bool:
-        """Whether connections are closed after their next response."""
+        """Whether each connection is closed once its requests have ended."""
         return self._is_closing
 
     @property
     def busy_connections(self) -> int:
-        """Number of connections with a request that is not answered yet."""
+        """Number of connections with a request without its whole answer.
+
+        Bytes of an answer that wait for the caller to read them count as well.
+        """
         return sum(1 for c in self._connections if c.is_busy)
 
     @property
@@ -158,7 +176,10 @@
         self._record_cut(cut)
 
     def close_connections(self) -> None:
-        """Starts to close each connection after its next response."""
+        """Starts to close each connection once its requests have ended.
+
+        Requests that run are answered; none is started behind them.
+        """
         self._is_closing = True
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -171,26 +192,54 @@
         Args:
             listener: A socket from ``util.listen``; it is closed at the end.
         """
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: _Connection(self),
-            sock=listener,
-            backlog=util.LISTEN_BACKLOG,
-        )
+        await self._acceptor.start(listener)
         try:
             await anyio.sleep_forever()
         finally:
-            server.close()
+            self._acceptor.close()
             for connection in list(self._connections):
                 connection.close("the server ends")
 
+    async def end(self, end_at: float) -> None:
+        """Closes the listener, answers what was sent and closes the rest.
+
+        Args:
+            end_at: Time at which it returns at the latest, on the clock of
+                ``time.monotonic``, in seconds.
+        """
+        self.close_connections()
+        await self._acceptor.stop()
+        await self._wait_until(self._is_idle, end_at)
+        for connection in list(self._connections):
+            connection.close_idle(CROSSING_S)
+        await self._wait_until(lambda: not self._connections, end_at)
+
+    async def _wait_until(
+        self, condition: Callable[[], bool], end_at: float
+    ) -> None:
+        while not condition() and time.monotonic() < end_at:
+            await anyio.sleep(END_CHECK_PERIOD_S)
+
+    def _is_idle(self) -> bool:
+        """Tells whether no request is expected or without its answer."""
+        return not any(c.is_busy or c.is_new for c in self._connections)
+
     def add(self, connection: "_Connection") -> None:
         """Adds a new connection."""
         self._connections.add(connection)
 
+    def add_lingering(self, connection: "_Connection") -> None:
+        """Adds a connection that lingers; the earliest may have to end."""
+        self._lingering[connection] = None
+        if len(self._lingering) > MAX_LINGERING:
+            earliest = next(iter(self._lingering))
+            del self._lingering[earliest]
+            earliest.end_linger()
+
     def discard(self, connection: "_Connection") -> None:
         """Removes a connection that has ended."""
         self._connections.discard(connection)
+        self._lingering.pop(connection, None)
 
 
 class _RunningRequest:
@@ -220,6 +269,14 @@
         self._error: parsing.MessageError | None = None
         self._is_paused = False
         self._is_ending = False
+        self._opened_at = time.monotonic()
+        self._has_received = False
+        # Whether it was closed while no request was expected.
+        self._was_idle = False
+        # Bytes of responses that were left when the timer of a lingering
+        # connection last ended, and the time since which they are.
+        self._linger_unsent_bytes = 0
+        self._linger_unsent_at = 0.0
         self._has_sent_continue = False
         self._timeout_at = math.inf
         self._timer: asyncio.TimerHandle | None = None
@@ -227,9 +284,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request has begun to arrive and is not answered yet."""
+        """Whether a request has begun to arrive and is not answered wholly."""
         has_more = self._reader.has_begun or bool(self._reader.requests)
-        return bool(self._running) or has_more
+        return bool(self._running) or has_more or self.unsent_bytes > 0
+
+    @property
+    def is_new(self) -> bool:
+        """Whether its first request may be under way."""
+        age_s = time.monotonic() - self._opened_at
+        return not self._has_received and age_s < FIRST_REQUEST_S
 
     @property
     def unsent_bytes(self) -> int:
@@ -247,7 +310,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests in them."""
+        self._has_received = True
         if self._error is not None or self._is_ending:
+            self._record_crossing()
+            self._pacer.record_read(len(data))
             return
         had_begun = self._reader.has_begun
         had_headers = self._reader.has_headers
@@ -267,13 +333,15 @@
     def pause_writing(self) -> None:
         """Stops sending while the send buffer is full."""
         self._is_paused = True
-        self._set_timeout(SEND_TIMEOUT_S)
+        if not self._is_ending:
+            self._set_timeout(SEND_TIMEOUT_S)
 
     def resume_writing(self) -> None:
         """Sends the responses that were held back."""
         self._is_paused = False
-        self._set_timeout(math.inf)
-        self._send_responses()
+        if not self._is_ending:
+            self._set_timeout(math.inf)
+            self._send_responses()
 
     def close(self, reason: str) -> None:
         """Closes the connection and cancels its requests.
@@ -281,7 +349,7 @@
         Args:
             reason: Why it is closed, for the log.
         """
-        if self.is_busy and not self._is_ending:
+        if self.is_busy and not self._transport.is_closing():
             cut = Cut(
                 reason,
                 len(self._running),
@@ -294,6 +362,16 @@
         self._tasks.cancel()
         self._transport.close()
 
+    def close_idle(self, linger_s: float = LINGER_S) -> None:
+        """Closes the connection in order unless a request is under way.
+
+        Args:
+            linger_s: Longest time until it is closed, in seconds.
+        """
+        if not self.is_busy and not self._is_ending:
+            self._was_idle = True
+            self._linger(linger_s)
+
     def give_up(self, reason: str) -> None:
         """Rejects the request, since it takes too much memory.
 
@@ -347,10 +425,14 @@
 
         If a response closes the connection, the caller repeats all requests
         after it. A request that changes something must therefore not start
-        before all earlier responses have been sent: it could run twice.
+        before all earlier responses have been sent: it could run twice. None
+        starts behind one whose response will close the connection.
         """
         if not self._running:
             return True
+        is_last = not self._running[-1].request.keeps_alive
+        if is_last or self._server.is_closing:
+            return False
         methods = {request.method, self._running[-1].request.method}
         return methods <= SAFE_METHODS and len(self._running) < MAX_CONCURRENT
 
@@ -382,12 +464,12 @@
     def _send_response(
         self, running: _RunningRequest, response: messages.Response
     ) -> None:
-        keeps_alive = (
-            running.request.keeps_alive and not self._server.is_closing
-        )
+        # A closing server closes after the last of the requests that run.
+        is_closing = self._server.is_closing and not self._running
+        keeps_alive = running.request.keeps_alive and not is_closing
         self._write_response(response, running.request.method, keeps_alive)
         if not keeps_alive:
-            self.close("the response to an earlier request closes it")
+            self._linger()
 
     def _handle_progress(self, had_begun: bool, had_headers: bool) -> None:
         """Sets the timeout after bytes arrived and sends 100 Continue if due.
@@ -444,18 +526,17 @@
         if remaining_s > 0.0:
             if remaining_s < math.inf:
                 self._start_timer(remaining_s)
+        elif self._is_ending:
+            self._handle_linger_timer()
         elif self._is_paused:
-            loguru.logger.warning(
-                "connection aborted: the caller does not read its response"
-            )
-            self._transport.abort()
+            self._abort_unread()
         elif self._running:
             self._set_read_timeout()
         elif self._reader.has_begun:
             reason = "the request did not arrive in time"
             self._reject(parsing.MessageError(408, reason))
         else:
-            self.close("idle")
+            self.close_idle()
 
     def _write_response(
         self, response: messages.Response, method: str, keeps_alive: bool
@@ -487,9 +568,62 @@
         """Sends an error response and closes the connection."""
         loguru.logger.warning("request rejected: {}", error)
         self._error = error
-        self._is_ending = True
         self._write_response(messages.Response(error.status), "GET", False)
-        if self._transport.can_write_eof() and not self._transport.is_closing():
+        self._linger()
+
+    def _linger(self, linger_s: float = LINGER_S) -> None:
+        """Ends the sending and closes the connection after a time.
+
+        It is closed earlier when the caller closes it, and later if responses
+        have not been sent by then.
+
+        Args:
+            linger_s: The time, in seconds.
+        """
+        self._is_ending = True
+        self._running.clear()
+        self._tasks.cancel()
+        self._reader.discard()
+        self._reader.requests.clear()
+        self._update_memory()
+        if self._transport.is_closing():
+            return
+        self._pacer.hold(False)
+        self._server.add_lingering(self)
+        self._set_timeout(linger_s)
+        try:
             self._transport.write_eof()
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_S, self._transport.close)
+        except OSError as error:  # asyncio reports the caller's reset here
+            loguru.logger.info("a caller reset its connection: {}", error)
+            self._transport.abort()
+
+    def _record_crossing(self) -> None:
+        """Records a request that was sent while the idle connection closed."""
+        if self._was_idle:
+            self._was_idle = False
+            reason = "a request crossed the close of an idle connection"
+            self._server.record_cut(Cut(reason, 0, 0, True, self.unsent_bytes))
+
+    def end_linger(self) -> None:
+        """Closes a lingering connection once its responses have been sent."""
+        self._transport.close()
+
+    def _handle_linger_timer(self) -> None:
+        """Closes a lingering connection unless responses are being sent."""
+        left_bytes, now = self.unsent_bytes, time.monotonic()
+        if not left_bytes and not self._linger_unsent_bytes:
+            self.end_linger()
+            return
+        if left_bytes != self._linger_unsent_bytes:
+            self._linger_unsent_at = now
+        elif now - self._linger_unsent_at >= SEND_TIMEOUT_S:
+            self._abort_unread()
+            return
+        self._linger_unsent_bytes = left_bytes
+        self._set_timeout(LINGER_S)
+
+    def _abort_unread(self) -> None:
+        loguru.logger.warning(
+            "connection aborted: the caller does not read its response"
+        )
+        self._transport.abort()
