--- a/rattangauge/net/connection_monitor.py
+++ b/rattangauge/net/connection_monitor.py
@@ -26,6 +26,18 @@
     def is_quiet(self) -> bool:
         """Whether no answer of the other end is awaited."""
 
+    @property
+    def stream_count(self) -> int:
+        """Number of streams in use."""
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes wait in this process, or may still be written."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the transport has reported the end of the connection."""
+
     def next_check_at(self) -> float:
         """Returns when a quiet connection must be checked, a monotonic time."""
 
@@ -35,6 +47,12 @@
     def close(self) -> None:
         """Aborts the connection."""
 
+    def end(self) -> None:
+        """Ends the connection after what was sent."""
+
+    def abort(self) -> None:
+        """Aborts the transport of a connection that has ended."""
+
 
 class ConnectionMonitor:
     """Checks the connections of one daemon for lost and idle ones.
@@ -68,6 +86,11 @@
         self._quiet_connections: set[MonitoredConnection] = set()
         self._entry_numbers = itertools.count()
 
+    @property
+    def connections(self) -> list[MonitoredConnection]:
+        """The connections that have not ended."""
+        return list(self._connections)
+
     @property
     def check_period_s(self) -> float:
         """Time between two checks of a connection that is in use."""
@@ -167,7 +190,7 @@
             await supervision.run(self._record, _LOOP, self._check_repeatedly)
         finally:
             self.tasks.cancel()
-            for connection in list(self._connections):
+            for connection in self.connections:
                 self._close(connection)
 
     async def _check_repeatedly(self) -> None:
