--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import os
+import pathlib
 import signal
 import subprocess
 
@@ -47,8 +48,9 @@
 
 SERVICES = ("skladby", "objednavky")
 PLACE_OF_STORE = relay_module.PLATFORM_ZONE
-# Until then Python itself has not run the first line of a daemon.
-FIRST_SIGNAL_S = 0.2
+# Processor time by which Python has run the first line of a daemon.
+FIRST_LINE_CPU_S = 0.1
+NANOSECONDS_PER_S = 1_000_000_000
 RESTART_S = 0.2
 POLL_PERIOD_S = 0.02
 # Time for which a pause or a fault of a link shows after its end.
@@ -78,7 +80,6 @@
         machine: The machine.
         handle: The process.
         reader: Scope of the task that reads its output.
-        started_s: Time of the start, moved by pauses.
         was_killed: Whether a fault killed it.
         stopped_s: Time of SIGTERM, moved by pauses; None if there was none.
         ended_s: Time of the end; None while it runs.
@@ -93,7 +94,6 @@
         self.machine = machine
         self.handle = handle
         self.reader = anyio.CancelScope()
-        self.started_s = anyio.current_time()
         self.was_killed = False
         self.stopped_s: float | None = None
         self.ended_s: float | None = None
@@ -110,12 +110,18 @@
 
     async def signal(self, number: signal.Signals) -> None:
         """Sends a signal, but not before a new process can handle it."""
-        await anyio.sleep_until(self.started_s + FIRST_SIGNAL_S)
+        while self.handle.poll() is None and self._cpu_s() < FIRST_LINE_CPU_S:
+            await anyio.sleep(POLL_PERIOD_S)
         is_running = self.handle.poll() is None
         if number is signal.SIGTERM and is_running and self.stopped_s is None:
             self.stopped_s = anyio.current_time()
         self.handle.send_signal(number)
 
+    def _cpu_s(self) -> float:
+        """Returns the processor time that the process has used."""
+        text = pathlib.Path(f"/proc/{self.handle.pid}/schedstat").read_text()
+        return int(text.split()[0]) / NANOSECONDS_PER_S
+
     def kill(self) -> None:
         """Kills the process as a fault."""
         self.was_killed = self.handle.poll() is None
@@ -135,10 +141,9 @@
                 self._resume()
 
     def _resume(self) -> None:
-        """Continues the process; a pause does not count for start and stop."""
+        """Continues the process; a pause does not count for a stop."""
         self.handle.send_signal(signal.SIGCONT)
         now_s = anyio.current_time()
-        self.started_s += now_s - self._paused_s
         if self.stopped_s is not None:
             self.stopped_s += now_s - max(self._paused_s, self.stopped_s)
 
