Show that 23 bytes at the mesh port abort a daemon

Cause: net/packing.is_whole counts the words of a message with several segments, but not where the runs of the packing end. pycapnp reads the later segments on their own; a run that crosses the end of one raises kj::ExceptionImpl where that ends the process ("Packed input did not end cleanly on a segment boundary").

--- /dev/null
+++ b/tests/test_process_review.py
@@ -0,0 +1,43 @@
+"""Faults that a review of the mended ends and stops found."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from standins import configurations
+from tests import test_process_frames
+from tools import platformfleet
+
+SERVICES = ("skladby",)
+PATHS = [configurations.path("/track/", "skladby", **{"timeout-s": 8.0})]
+# Two segments; a run of zero words crosses the end of the second one.
+RUN_BEYOND_A_SEGMENT = bytes.fromhex(
+    "01011109005002000101010311050a3105c25d00ff0077"
+)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+@contextlib.asynccontextmanager
+async def one_machine():
+    """Yields a machine whose daemon serves."""
+    async with platformfleet.running() as fleet:
+        fleet.publish(PATHS, SERVICES)
+        machine = await fleet.add("a", "skladby")
+        fleet.start("a")
+        await fleet.wait_ready("a")
+        await fleet.wait_served("a", "/track/1")
+        yield fleet, machine
+
+
+async def test_a_run_beyond_a_segment_ends_no_daemon():
+    """Guards against 23 bytes at the mesh port that abort a daemon."""
+    async with one_machine() as (_fleet, machine):
+        peer = await anyio.connect_tcp(machine.host, machine.ports["mesh"])
+        await peer.send(test_process_frames.frame(RUN_BEYOND_A_SEGMENT))
+        assert await machine.ended(1.0) is None, machine.log_text()
+        await peer.aclose()
