Show that a stop without a free descriptor fails

Cause: http/acceptor._accept_waiting duplicates the listening socket. If no descriptor is free, dup raises OSError(EMFILE) out of Node._drain: the task group ends, the connections between daemons are aborted without LinkEnd, and the daemon exits with 1. Evidence: daemon_failed "OSError(24, 'Too many open files')", place socket.py dup.

--- a/tests/test_process_review.py
+++ b/tests/test_process_review.py
@@ -1,6 +1,8 @@
 """Faults that a review of the mended ends and stops found."""
 
 import contextlib
+import resource
+import socket
 
 import anyio
 import pytest
@@ -41,3 +43,25 @@
         await peer.send(test_process_frames.frame(RUN_BEYOND_A_SEGMENT))
         assert await machine.ended(1.0) is None, machine.log_text()
         await peer.aclose()
+
+
+async def test_a_stop_without_descriptors_is_a_clean_end():
+    """Guards against a stop that fails since no descriptor is left."""
+    async with one_machine() as (_fleet, machine):
+        process = machine.process
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (40, 40))
+        address = (machine.host, machine.ports["callers"])
+        with contextlib.ExitStack() as stack:
+
+            async def open_repeatedly():
+                while machine.is_running:
+                    with contextlib.suppress(OSError):
+                        connection = socket.create_connection(address, 0.1)
+                        stack.enter_context(connection)
+                    await anyio.sleep(0.02)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(open_repeatedly)
+                await anyio.sleep(0.5)
+                code = await machine.stop()
+        assert code == 0, machine.log_text()
