Show that a port is closed for good after one error of accept

Cause: uvloop closes a listening socket when accept fails with an error that it does not get around (EMFILE without its spare descriptor, ENFILE, ENOBUFS). Nothing watches the server of http/acceptor or net/meshserver: the daemon goes on, its readiness is 200, and its port refuses all connections. At the stop remove_reader then raises ValueError("Invalid file descriptor: -1") out of Node._drain and the daemon exits with 1. It lowers the limit of descriptors below those in use for 0.5 s, since accept otherwise fails only if the system or a quota for sockets is exhausted.

--- a/tests/test_process_review.py
+++ b/tests/test_process_review.py
@@ -65,3 +65,19 @@
                 await anyio.sleep(0.5)
                 code = await machine.stop()
         assert code == 0, machine.log_text()
+
+
+async def test_a_port_accepts_again_after_an_error_of_accept():
+    """Guards against a daemon that is ready and accepts no connections."""
+    async with one_machine() as (fleet, machine):
+        pid = machine.process.pid
+        before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (10, before[1]))
+        address = (machine.host, machine.ports["callers"])
+        with contextlib.suppress(OSError):
+            socket.create_connection(address, 0.5).close()
+        await anyio.sleep(0.5)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, before)
+        await anyio.sleep(1.0)
+        assert await fleet.is_ready("a")
+        assert await fleet.request("a", "/track/1") == 200
