Show that answers which nobody reads exceed the memory of a machine

Cause: http/server hands each whole answer to the transport; the bytes that wait there count in no bound (ReceiveMemory counts requests alone). They stay for SEND_TIMEOUT_S (10 s) without progress, also beyond a stop. Not checked: whether the bounds hold for answers below some 2 MB.

--- a/tests/test_process_review.py
+++ b/tests/test_process_review.py
@@ -1,12 +1,14 @@
 """Faults that a review of the mended ends and stops found."""
 
 import contextlib
+import pathlib
 import resource
 import socket
 
 import anyio
 import pytest
 
+from standins import appworker
 from standins import configurations
 from tests import test_process_frames
 from tools import platformfleet
@@ -81,3 +83,42 @@
         await anyio.sleep(1.0)
         assert await fleet.is_ready("a")
         assert await fleet.request("a", "/track/1") == 200
+
+
+MEMORY_MB = 300
+UNREAD_ANSWERS = 40
+ANSWER_BYTES = 8_000_000
+
+
+def resident_mb(pid):
+    """Returns the resident memory of a process, in MB."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() // 2**20
+
+
+async def test_answers_that_nobody_reads_stay_within_the_memory():
+    """Guards against a daemon that is killed for the answers that it holds."""
+
+    async def large(request):
+        return appworker.sealed(request, b"x" * ANSWER_BYTES)
+
+    async with platformfleet.running() as fleet:
+        fleet.publish(PATHS, SERVICES)
+        machine = await fleet.add("a", "skladby")
+        machine.settings["instance"]["memory_mb"] = float(MEMORY_MB)
+        fleet.start("a")
+        await fleet.wait_served("a", "/track/1")
+        machine.upstream.behaviour = large
+        peak_mb = 0
+        with contextlib.ExitStack() as stack:
+            for number in range(UNREAD_ANSWERS):
+                caller = stack.enter_context(socket.socket())
+                caller.connect((machine.host, machine.ports["callers"]))
+                caller.send(
+                    b"GET /track/1 HTTP/1.1\r\nhost: %s\r\nrequest-id: q%d\r\n"
+                    b"deadline-ms: 7000\r\n\r\n"
+                    % (configurations.HOST.encode(), number)
+                )
+                await anyio.sleep(0.1)
+                peak_mb = max(peak_mb, resident_mb(machine.process.pid))
+        assert peak_mb < MEMORY_MB
