Show that HEAD requests end with 504 though they have run

Cause: http/client and http/parsing read the answer of an upstream without the method of its request, so the content-length of an answer to HEAD makes them wait for a body until the deadline. Evidence: HEAD 504 after 0.901 s with a deadline of 0.9 s; GET, OPTIONS, TRACE and DELETE 200 within 3 ms.

--- a/tests/test_process_review.py
+++ b/tests/test_process_review.py
@@ -135,3 +135,16 @@
         await anyio.sleep(after_s)
         process.send_signal(signal.SIGHUP)
         assert await machine.ended(2.0) is None
+
+
+async def test_a_head_request_is_answered_like_a_get_request():
+    """Guards against waiting for the body of an answer that has none."""
+    async with one_machine() as (_fleet, machine):
+        caller = await anyio.connect_tcp(machine.host, machine.ports["callers"])
+        await caller.send(
+            b"HEAD /track/1 HTTP/1.1\r\nhost: %s\r\nrequest-id: q1\r\n"
+            b"deadline-ms: 900\r\n\r\n" % configurations.HOST.encode()
+        )
+        with anyio.fail_after(3):
+            assert (await caller.receive()).startswith(b"HTTP/1.1 200")
+        await caller.aclose()
