Refuse messages with a run of words beyond a segment

Cause: the library reads later segments when they are needed and raises an error where that ends the process; the check counted words and not where the runs end. Change: each run must end in its segment, as all runs of the library's own writer do. Measured: test_a_run_beyond_a_segment_ends_no_daemon failed in 5 of 5 runs and passes; test_frames and test_process_frames pass.

--- a/rattangauge/net/packing.py
+++ b/rattangauge/net/packing.py
@@ -1,9 +1,12 @@
 """Checks packed messages before the library reads them.
 
 The library reads the later segments of a message when they are needed. If the
-bytes end before them, it raises an error where that ends the process.
+bytes end before them, or a run of words crosses the end of one, it raises an
+error where that ends the process.
 """
 
+from collections.abc import Sequence
+import itertools
 import struct
 
 # Most segments that the library reads.
@@ -18,7 +21,7 @@
 
 
 def is_whole(packed: bytes) -> bool:
-    """Tells whether a packed message has all bytes that its head announces.
+    """Tells whether a packed message has the segments that its head announces.
 
     A message of one segment is not looked into: the library reads all of it at
     once.
@@ -39,7 +42,8 @@
     if len(table) < table_words * _WORD_BYTES:
         return False
     sizes = struct.unpack_from(f"<{count}I", table, 4)
-    return _count_words(packed) >= table_words + sum(sizes)
+    ends = list(itertools.accumulate(sizes, initial=table_words))
+    return _has_segments(packed, ends)
 
 
 def _unpack_start(packed: bytes, size: int) -> bytes:
@@ -67,9 +71,14 @@
     return bytes(result[:size])
 
 
-def _count_words(packed: bytes) -> int:
-    """Returns the number of whole words of a message; 0 if it is cut off."""
-    words = position = 0
+def _has_segments(packed: bytes, ends: Sequence[int]) -> bool:
+    """Tells whether a message has all words and each run ends in its segment.
+
+    Args:
+        packed: The message.
+        ends: Ends of the table and of each segment, in words from the start.
+    """
+    words = position = segment = 0
     length = len(packed)
     while position < length:
         tag = packed[position]
@@ -77,8 +86,12 @@
         words += 1
         if tag in (_ZERO_RUN, _PLAIN_RUN):
             if position >= length:
-                return 0
+                return False
             run = packed[position]
+            while segment < len(ends) and ends[segment] <= words:
+                segment += 1
             words += run
+            if segment < len(ends) and run and words > ends[segment]:
+                return False
             position += 1 + (run * _WORD_BYTES if tag else 0)
-    return words if position == length else 0
+    return position == length and words >= ends[-1]
