Listen again after an error of accept, stop without a free descriptor

Cause: uvloop closes a listening socket after an error of accept, and nothing watched it; the copy of the listening socket at a stop needs a descriptor. Change: the acceptor looks each half second whether the loop still listens, and listens again; a stop that cannot copy the socket closes it and goes on.

--- a/rattangauge/http/acceptor.py
+++ b/rattangauge/http/acceptor.py
@@ -11,6 +11,7 @@
 import errno
 import socket
 
+import anyio
 import loguru
 
 from rattangauge import util
@@ -19,6 +20,9 @@
 # Iterations of the event loop after which each connection that the loop has
 # accepted has been passed to its protocol.
 ACCEPT_TURNS = 4
+# Time between two checks whether the event loop still listens. It closes the
+# listening socket after an error, such as that no descriptor is left.
+CHECK_PERIOD_S = 0.5
 
 
 class Acceptor:
@@ -34,12 +38,30 @@
         self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
 
-    async def start(self, listener: socket.socket) -> None:
-        """Starts to accept.
+    async def run(self, listener: socket.socket) -> None:
+        """Accepts connections until cancelled or stopped.
+
+        Listens again whenever the event loop has closed the socket.
 
         Args:
             listener: A socket from ``util.listen``; the acceptor closes it.
         """
+        host, port = listener.getsockname()[:2]
+        await self._start(listener)
+        while self._listener is not None:
+            await anyio.sleep(CHECK_PERIOD_S)
+            if self._listener is None or self._listener.fileno() >= 0:
+                continue
+            try:
+                await self._start(util.listen(host, port))
+            except OSError as error:
+                loguru.logger.warning(
+                    "cannot listen at {}:{} again: {}", host, port, error
+                )
+            else:
+                loguru.logger.warning("listening at {}:{} again", host, port)
+
+    async def _start(self, listener: socket.socket) -> None:
         self._listener = listener
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
@@ -57,11 +79,13 @@
 
         All of them have been passed to their protocols when it returns.
         """
-        if self._listener is None:
+        listener = self._listener
+        if listener is None or listener.fileno() < 0:
+            self.close()
             return
         # The loop of asyncio loses connections that it has accepted and not yet
         # set up when the server is closed.
-        asyncio.get_running_loop().remove_reader(self._listener)
+        asyncio.get_running_loop().remove_reader(listener)
         await _run_turns()
         for connection in self._accept_waiting():
             await self._open(connection)
@@ -69,12 +93,20 @@
 
     def _accept_waiting(self) -> list[socket.socket]:
         """Closes the listening socket once no connection waits there."""
-        if self._listener is None:
+        if self._listener is None or self._listener.fileno() < 0:
+            return []
+        _refuse_more(self._listener)
+        try:
+            # The copy keeps the socket open when the event loop closes it.
+            listener = self._listener.dup()
+        except OSError as error:
+            loguru.logger.warning(
+                "connections that wait are not accepted: {}", error
+            )
+            self.close()
             return []
-        # The copy keeps the socket open when the event loop closes it.
-        with self._listener.dup() as listener:
+        with listener:
             self.close()
-            _refuse_more(listener)
             return _accept_all(listener)
 
     async def _open(self, connection: socket.socket) -> None:
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -129,8 +129,8 @@
         Args:
             listener: A socket from ``util.listen``; it is closed at the end.
         """
-        await self._acceptor.start(listener)
         try:
+            await self._acceptor.run(listener)
             await anyio.sleep_forever()
         finally:
             self._acceptor.close()
--- a/rattangauge/net/meshserver.py
+++ b/rattangauge/net/meshserver.py
@@ -45,9 +45,10 @@
 
     async def serve(self, listener: socket.socket) -> None:
         """Serves a listening socket until cancelled; closes it then."""
-        await self._acceptor.start(listener)
         try:
-            await self._monitor.run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._acceptor.run, listener)
+                await self._monitor.run()
         finally:
             self._acceptor.close()
 
