--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -207,3 +207,11 @@
     assert frames.unpack(packed) == (1, message)
     if packed[0] & 0x0F:
         assert not packing.is_whole(packed[: max(1, len(packed) - cut)])
+
+
+def test_a_run_beyond_a_segment_is_malformed():
+    """Guards against a message that aborts the process when it is read."""
+    packed = bytes.fromhex("01011109005002000101010311050a3105c25d00ff0077")
+    assert not packing.is_whole(packed)
+    with pytest.raises(errors.CodedError):
+        frames.unpack(packed)
