--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -226,3 +226,30 @@
                 tasks.start_soon(open_repeatedly)
         assert machine.process.returncode == 0
         assert not unanswered
+
+
+# Time from SIGTERM after which the platform kills a daemon.
+GRACE_S = 6.0
+UNREAD_ANSWERS = 10
+
+
+async def test_a_stop_ends_within_the_grace_whatever_others_do():
+    """Guards against waits whose sum is longer than the grace."""
+    async with fleet_of("a", "b", "c") as fleet:
+        machine = fleet.machines["a"]
+        machine.upstream.behaviour = large
+        with contextlib.ExitStack() as stack:
+            for number in range(UNREAD_ANSWERS):
+                raw = stack.enter_context(socket.socket())
+                raw.connect((machine.host, machine.ports["callers"]))
+                raw.send(
+                    b"GET /track/1 HTTP/1.1\r\nhost: %s\r\nrequest-id: q%d"
+                    b"\r\ndeadline-ms: 2500\r\n\r\n"
+                    % (configurations.HOST.encode(), number)
+                )
+            await anyio.sleep(1.0)
+            for name in ("b", "c"):
+                fleet.machines[name].process.send_signal(signal.SIGSTOP)
+            stopped_at = anyio.current_time()
+            assert await machine.stop() == 0, machine.log_text()
+            assert anyio.current_time() - stopped_at < GRACE_S
