Name what a connection needs of its server in a module of its own

Change: http/owner.py has the two protocols and Cut; the tests use the list. No behaviour is changed. Measured: test_http_server, test_server_end, test_closed_transports, test_mutations, test_process_stops and test_process_calls pass.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -5,15 +5,13 @@
 import math
 import time
 from typing import Any
-from typing import NamedTuple
-from typing import Protocol
 
 import loguru
 
 from rattangauge import futures
-from rattangauge import receivememory
 from rattangauge.http import limits as limits_module
 from rattangauge.http import messages
+from rattangauge.http import owner
 from rattangauge.http import pacing
 from rattangauge.http import parsing
 
@@ -35,55 +33,6 @@
 FIRST_REQUEST_S = 0.2
 
 
-class Cut(NamedTuple):
-    """A connection that the server closed while its caller waited.
-
-    Attributes:
-        reason: Why it was closed.
-        running: Number of requests that were handled.
-        waiting: Number of complete requests that were not handled yet.
-        has_partial: Whether a further request had arrived in part.
-        unsent_bytes: Bytes of responses that had not been sent.
-    """
-
-    reason: str
-    running: int
-    waiting: int
-    has_partial: bool
-    unsent_bytes: int
-
-
-class Owner(Protocol):
-    """What a connection needs of its server."""
-
-    @property
-    def limits(self) -> limits_module.Limits:
-        """Limits in force."""
-
-    @property
-    def memory(self) -> receivememory.ReceiveMemory:
-        """Memory of all messages that have been received in part."""
-
-    @property
-    def is_closing(self) -> bool:
-        """Whether each connection is closed once its requests have ended."""
-
-    async def handle(self, request: messages.Request) -> messages.Response:
-        """Returns the response to a request."""
-
-    def record_cut(self, cut: Cut) -> None:
-        """Records a connection that was closed while its caller waited."""
-
-    def add(self, connection: "Connection") -> None:
-        """Adds a new connection."""
-
-    def add_lingering(self, connection: "Connection") -> None:
-        """Adds a connection that lingers; the earliest may have to end."""
-
-    def discard(self, connection: "Connection") -> None:
-        """Removes a connection that has ended."""
-
-
 class _RunningRequest:
     """A request that is being handled.
 
@@ -104,7 +53,7 @@
     are sent in the order of the requests.
     """
 
-    def __init__(self, server: Owner) -> None:
+    def __init__(self, server: owner.Owner) -> None:
         """Creates the connection of a server."""
         self._server = server
         self._tasks = futures.Tasks()
@@ -206,7 +155,7 @@
             reason: Why it is closed, for the log.
         """
         if self.is_busy and not self._transport.is_closing():
-            cut = Cut(
+            cut = owner.Cut(
                 reason,
                 len(self._running),
                 len(self._reader.requests),
@@ -500,7 +449,9 @@
         if self._was_idle:
             self._was_idle = False
             reason = "a request crossed the close of an idle connection"
-            self._server.record_cut(Cut(reason, 0, 0, True, self.unsent_bytes))
+            self._server.record_cut(
+                owner.Cut(reason, 0, 0, True, self.unsent_bytes)
+            )
 
     def end_linger(self) -> None:
         """Closes a lingering connection once its responses have been sent."""
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -19,6 +19,7 @@
 from rattangauge.http import callerconnection
 from rattangauge.http import limits as limits_module
 from rattangauge.http import messages
+from rattangauge.http import owner
 
 # Connections that linger at a time; beyond it the earliest are closed.
 MAX_LINGERING = 256
@@ -29,7 +30,7 @@
 # against it.
 CROSSING_S = 0.05
 
-Cut = callerconnection.Cut
+Cut = owner.Cut
 Limits = limits_module.Limits
 
 # Returns the response to a request; cancelled if the caller disconnects.
--- a/tests/test_process_calls.py
+++ b/tests/test_process_calls.py
@@ -10,6 +10,7 @@
 
 from standins import appworker
 from standins import configurations
+from standins import connection
 from tests import meshes
 from tools import platformfleet
 
@@ -34,12 +35,7 @@
 # Time that a caller waits after a refusal.
 REFUSED_PAUSE_S = 0.02
 # Errors of a caller whose connection ends.
-ENDED = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
+ENDED = connection.ENDED
 
 
 @pytest.fixture
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -10,6 +10,7 @@
 
 from standins import appworker
 from standins import configurations
+from standins import connection
 from tests import meshes
 from tools import platformfleet
 
@@ -20,12 +21,7 @@
 ]
 CALLERS_PER_DAEMON = 12
 # Errors of a caller whose connection ends.
-ENDED = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
+ENDED = connection.ENDED
 
 
 @pytest.fixture
