--- a/standins/appworker.py
+++ b/standins/appworker.py
@@ -30,6 +30,20 @@
     return messages.Response(status, (identity, (b"not-executed", b"1")))
 
 
+class _Server(server_module.Server):
+    """Closes the connection of a request whose handler raises an error."""
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Returns the response to a request, or loses its connection."""
+        try:
+            return await super().handle(request)
+        except Exception:
+            for connection in list(self._connections):
+                if any(run.request is request for run in connection._running):
+                    connection.close("the stand-in loses the answer")
+            raise
+
+
 class AppWorker:
     """Runs requests and remembers them.
 
@@ -38,7 +52,7 @@
         running: Requests that run now.
         peak: Most requests that ran at a time.
         cancelled: Requests whose connection ended while they ran.
-        behaviour: What it does with a request.
+        behaviour: What it does with a request; an error loses the answer.
     """
 
     def __init__(self, work_s: float = 0.0) -> None:
@@ -81,7 +95,7 @@
         self, listener: socket.socket, scope: anyio.CancelScope
     ) -> None:
         with scope:
-            await server_module.Server(self._handle).serve(listener)
+            await _Server(self._handle).serve(listener)
 
     def stop(self) -> None:
         """Closes the port and all connections, as a process that ends."""
