Answer a HEAD request like a GET request

Callers saw 504 at the deadline, though the upstream had run the request. Cause: the client of the upstream parsed the response to HEAD like any other and waited for the body that its headers announce; such a response ends with its headers (RFC 9112, section 6.3). Change: the response reader is told that the response has no body. As the parser cannot skip one, the connection is closed after it, and a HEAD request always has a connection of its own, so that no late response to an earlier request is parsed in this way.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -126,12 +126,18 @@
         self._has_ended = True
         self._transport.abort()
 
-    def send(self, data: bytes) -> None:
-        """Sends a request and prepares for its response."""
+    def send(self, data: bytes, has_body: bool) -> None:
+        """Sends a request and prepares for its response.
+
+        Args:
+            data: The request.
+            has_body: Whether the response may have a body.
+        """
         body_bytes = min(MAX_RESPONSE_BYTES, self._memory.message_bytes)
-        self._reader = parsing.ResponseReader(
-            parsing.MessageLimits(MAX_HEADER_BYTES, body_bytes, FRAMING_BYTES)
+        limits = parsing.MessageLimits(
+            MAX_HEADER_BYTES, body_bytes, FRAMING_BYTES
         )
+        self._reader = parsing.ResponseReader(limits, has_body)
         self._transport.write(data)
 
     async def receive(self, deadline: float) -> messages.Response:
@@ -247,12 +253,14 @@
             data = messages.encode_request(request)
         except UnicodeEncodeError as error:
             raise NotSentError(str(error)) from error
+        # A response without a body must be the first of its connection.
+        has_body = request.method != "HEAD"
         # Only an identity tells the response of a reused connection.
-        may_reuse = bool(request.header(self._id_header))
+        may_reuse = has_body and bool(request.header(self._id_header))
         connection = await self._connect(may_reuse)
         response = None
         try:
-            connection.send(data)
+            connection.send(data, has_body)
             response = await self._receive(connection, request, deadline)
         finally:
             is_reusable = connection.finish()
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -313,9 +313,19 @@
         responses: Complete responses, to be removed by the caller of ``feed``.
     """
 
-    def __init__(self, limits: MessageLimits) -> None:
-        """Creates a parser for a new connection."""
+    def __init__(self, limits: MessageLimits, has_bodies: bool = True) -> None:
+        """Creates a parser for a new connection.
+
+        Args:
+            limits: Limits of each response.
+            has_bodies: Whether responses may have bodies; those to HEAD
+                requests have none, whatever length they announce (RFC 9112,
+                section 6.3). Without bodies, one final response is parsed and
+                what follows it is discarded.
+        """
         super().__init__(limits)
+        self._has_bodies = has_bodies
+        self._is_complete = False
         self._parser = httptools.HttpResponseParser(self)
         self._received = 0
         self.responses: deque[messages.Response] = deque()
@@ -346,11 +356,21 @@
     def on_headers_complete(self) -> None:
         """Checks the headers once they are complete."""
         self._has_headers = True
-        self._check_lengths()
+        if self._has_bodies:
+            self._check_lengths()
+        elif not self._is_complete:
+            self._add_response(False)
+            self._is_complete = bool(self.responses)
+
+    def on_body(self, data: bytes) -> None:
+        """Adds a piece of the body."""
+        if not self._is_complete:
+            super().on_body(data)
 
     def on_message_complete(self) -> None:
         """Adds a complete response to ``responses``."""
-        self._add_response(self._parser.should_keep_alive())
+        if not self._is_complete:
+            self._add_response(self._parser.should_keep_alive())
 
     def _add_response(self, keeps_alive: bool) -> None:
         status = self._parser.get_status_code()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -166,6 +166,33 @@
         assert len(accepted) == 3
 
 
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+@pytest.mark.parametrize("body", [b"", b"2\r\nok\r\n0\r\n\r\n" + OK])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Content-Length: 90000000\r\n",
+        b"Content-Length: 2\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"",
+    ],
+)
+async def test_a_response_to_head_ends_with_its_headers(interim, body, line):
+    """Guards against waiting for the body that such a response lacks."""
+    head = b"HTTP/1.1 200 OK\r\n" + OWN + line + b"\r\n"
+
+    async def script(stream, number):
+        await answer_each(stream, number, interim + head + body)
+
+    async with scripted(script) as (client, accepted):
+        for _ in range(2):
+            with anyio.fail_after(1.0):
+                response = await client.exchange(request(method="HEAD"))
+            assert (response.status, response.body) == (200, b"")
+            assert response.header(b"content-length") in line
+        assert len(accepted) == 2
+
+
 @pytest.mark.parametrize(
     "lines",
     [
