Bound the responses that callers do not read

Cause: only received messages were in the memory's bound; answers that wait for their callers were in none, neither those in the buffer of the connection nor those that wait for an earlier answer. Change: the server sums what all connections hold whenever one of them holds much, and cuts those with the most beyond the bound, with a connection_cut event. Each connection buffers at most 16 KiB before it sends no further response, so that many small ones are bounded as well. Tests that gave a connection a fake transport give it the new method. The two servers of the tests share one builder, tests/servers.py.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -28,6 +28,9 @@
 # closed at once, the caller could get a reset instead of the response (RFC
 # 9112, section 9.6).
 LINGER_S = 0.5
+# Bytes of responses that wait in the process beside a full socket until no
+# further response of the connection is sent.
+SEND_BUFFER_BYTES = 16 * 1024
 # Time in which a new connection brings its first request. A server that ends
 # waits for it.
 FIRST_REQUEST_S = 0.2
@@ -105,10 +108,20 @@
         """Bytes of responses that wait for the caller to read them."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of responses that are held, whether or not they are due."""
+        return self.unsent_bytes + sum(
+            len(running.response.body)
+            for running in self._running
+            if running.response is not None
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts reading from a caller."""
         limits = self._server.limits
         self._transport: Any = transport
+        transport.set_write_buffer_limits(SEND_BUFFER_BYTES)
         self._pacer = pacing.ReadPacer(transport)
         self._reader = parsing.RequestReader(
             limits_module.message_limits(limits)
@@ -154,7 +167,26 @@
         Args:
             reason: Why it is closed, for the log.
         """
-        if self.is_busy and not self._transport.is_closing():
+        if not self._transport.is_closing():
+            self._record_cut(reason)
+        self._is_ending = True
+        self._tasks.cancel()
+        self._transport.close()
+
+    def abort(self, reason: str) -> None:
+        """Closes the connection and discards what its caller has not read.
+
+        Args:
+            reason: Why it is closed, for the log.
+        """
+        self._record_cut(reason)
+        self._is_ending = True
+        self._tasks.cancel()
+        self._transport.abort()
+
+    def _record_cut(self, reason: str) -> None:
+        """Records the end of the connection if its caller waits."""
+        if self.is_busy:
             cut = owner.Cut(
                 reason,
                 len(self._running),
@@ -163,9 +195,6 @@
                 self.unsent_bytes,
             )
             self._server.record_cut(cut)
-        self._is_ending = True
-        self._tasks.cancel()
-        self._transport.close()
 
     def close_idle(self, linger_s: float = LINGER_S) -> None:
         """Closes the connection in order unless a request is under way.
@@ -272,6 +301,8 @@
         try:
             running.response = await self._response_to(running.request)
             self._send_responses()
+            if self.unread_bytes > SEND_BUFFER_BYTES:
+                self._server.bound_unread()
         finally:
             memory.unpin(body_bytes)
 
--- a/rattangauge/http/owner.py
+++ b/rattangauge/http/owner.py
@@ -54,6 +54,9 @@
     def record_cut(self, cut: Cut) -> None:
         """Records a connection that was closed while its caller waited."""
 
+    def bound_unread(self) -> None:
+        """Cuts connections if callers leave too many bytes unread."""
+
     def add(self, connection: OwnedConnection) -> None:
         """Adds a new connection."""
 
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -166,6 +166,22 @@
             [c for c in self._connections if not c.is_ending]
         )
 
+    def bound_unread(self) -> None:
+        """Cuts connections if callers leave too many bytes unread.
+
+        The responses that callers have not read may take as much memory as
+        messages that have been received in part; beyond it, the connections
+        with most of them are cut.
+        """
+        unread = {c: c.unread_bytes for c in self._connections}
+        limit = self._memory.limit_bytes
+        excess = sum(unread.values()) - limit
+        while excess > 0:
+            largest = max(unread, key=unread.__getitem__)
+            excess -= unread.pop(largest)
+            self.discard(largest)
+            largest.abort(f"responses that nobody reads exceed {limit} bytes")
+
     def add(self, connection: callerconnection.Connection) -> None:
         """Adds a new connection."""
         self._connections.add(connection)
--- a/tests/test_closed_transports.py
+++ b/tests/test_closed_transports.py
@@ -50,6 +50,9 @@
         """Returns the size of an empty send buffer."""
         return 0
 
+    def set_write_buffer_limits(self, _high):
+        """Sets the size of the send buffer."""
+
     def can_write_eof(self):
         """Supports a close in one direction."""
         return True
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -12,10 +12,10 @@
 from hypothesis import strategies
 import pytest
 
-from rattangauge import util
 from rattangauge.http import callerconnection
 from rattangauge.http import messages
 from rattangauge.http import server as server_module
+from tests import servers
 
 LIMITS = server_module.Limits(
     header_bytes=2000, body_bytes=5000, header_s=0.3, idle_s=0.3, body_s=0.3
@@ -37,17 +37,12 @@
         limits: The limits, or a function that returns those in force.
     """
     in_force = limits if callable(limits) else lambda: limits
-    server = server_module.Server(handler, in_force)
-    listener = util.listen("127.0.0.1")
-    port = listener.getsockname()[1]
+    async with servers.serving(handler, in_force) as (server, port):
 
-    async def connect():
-        return await anyio.connect_tcp("127.0.0.1", port)
+        async def connect():
+            return await anyio.connect_tcp("127.0.0.1", port)
 
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve, listener)
         yield server, connect
-        tasks.cancel_scope.cancel()
 
 
 async def echo(request):
@@ -407,6 +402,7 @@
     aborted = anyio.Event()
     transport = types.SimpleNamespace(
         get_write_buffer_size=lambda: 100,
+        set_write_buffer_limits=lambda high: None,
         is_closing=lambda: False,
         abort=aborted.set,
     )
--- a/tests/test_server_end.py
+++ b/tests/test_server_end.py
@@ -10,10 +10,10 @@
 import anyio.lowlevel
 import pytest
 
-from rattangauge import util
 from rattangauge.http import callerconnection
 from rattangauge.http import messages
 from rattangauge.http import server as server_module
+from tests import servers
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 # Time that the server has to end; longer than any test.
@@ -28,16 +28,10 @@
 
 @contextlib.asynccontextmanager
 async def serving(handler, cuts=None):
-    """Yields a server and its port; cuts are added to the list."""
-    record = server_module._log_cut if cuts is None else cuts.append
-    server = server_module.Server(handler, record_cut=record)
-    listener = util.listen("127.0.0.1")
-    port = listener.getsockname()[1]
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve, listener)
+    """Yields a server that accepts connections, and its port."""
+    async with servers.serving(handler, cuts=cuts) as (server, port):
         await anyio.sleep(0.05)
         yield server, port
-        tasks.cancel_scope.cancel()
 
 
 async def answer(_request):
