Wait for the upstream stand-ins of a started fleet

Cause: Fleet.start waited for the daemons alone; a stand-in that starts later than its daemon is not there when the test asks it. Change: start waits for both.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -276,7 +276,7 @@
         )
 
     async def start(self, *workers: Worker) -> None:
-        """Plans and starts workers and waits until their daemons answer."""
+        """Plans and starts workers and waits until their processes answer."""
         self.plan(*workers)
         for worker in workers:
             await self._connect_relay(worker)
@@ -284,8 +284,10 @@
             await self.start_daemon(worker.name)
             await self.start_upstream(worker.name)
         for worker in workers:
-            address = self._ports[worker.name].operators
-            await wait_for_http(f"http://{address}/health")
+            ports = self._ports[worker.name]
+            await wait_for_http(f"http://{ports.operators}/health")
+            if worker.service:
+                await wait_for_http(f"http://{ports.upstream}/counters")
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process of the fleet."""
