--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -22,6 +22,7 @@
 from rattangauge.http import pacing
 from rattangauge.net import connection_monitor
 from rattangauge.net import frames
+from rattangauge.net import pings
 from rattangauge.net import streams
 
 MAX_STREAMS = 20_000
@@ -37,9 +38,6 @@
 PATIENCE_FACTOR = 4.0
 # The other end counts as suspect while a ping is unanswered for longer.
 SUSPECT_PING_S = 0.15
-# Assumed rate of a slow network. The bytes on their way delay the answer to a
-# ping, so the time limit of the ping grows by the time they take.
-SLOW_LINK_BYTES_PER_S = 100_000.0
 # No pong is sent while this many bytes wait for a peer that does not read, so
 # that its pings cannot use up the memory.
 MAX_UNREAD_BYTES = 16 * 1024 * 1024
@@ -79,12 +77,8 @@
         self._silence_error: errors.CodedError | None = None
         self._is_lost = False
         self._write_resumed: asyncio.Future[None] | None = None
-        self._received_at = time.monotonic()
-        self._last_stream_at = self._received_at
-        self._pinged_at: float | None = None
-        # Bytes sent since the last byte from the other end arrived.
-        self._unacknowledged_bytes = 0
-        self._ping_sequence = 0
+        self._last_stream_at = time.monotonic()
+        self._pings = pings.Pings(self._last_stream_at)
 
     @property
     def is_open(self) -> bool:
@@ -116,7 +110,7 @@
     @property
     def is_quiet(self) -> bool:
         """Whether no answer of the other end is awaited."""
-        return not self.stream_count and self._pinged_at is None
+        return not self.stream_count and not self._pings.is_awaited
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; aborts it if the set-up was abandoned."""
@@ -140,8 +134,7 @@
         """Parses received bytes and dispatches their messages."""
         if self._error is not None:
             return
-        self._received_at = time.monotonic()
-        self._unacknowledged_bytes = 0
+        self._pings.record_received(time.monotonic())
         try:
             for number, message in self._frame_parser.feed(data):
                 if self._error is None:
@@ -252,7 +245,7 @@
         if stream is not None and self._is_opener:
             stream.update_patience(message)
         self._transport.write(frame)
-        self._unacknowledged_bytes += len(frame)
+        self._pings.record_sent(len(frame))
         metrics.observe_sent(message, len(frame))
 
     def _pack_frame(
@@ -333,8 +326,7 @@
         if isinstance(message, messages.LinkPing):
             self._answer_ping(message.sequence)
         elif isinstance(message, messages.LinkPong):
-            if message.sequence == self._ping_sequence:
-                self._pinged_at = None
+            self._pings.accept_pong(message.sequence)
         elif isinstance(message, messages.LinkEnd) and self._is_opener:
             self._end_by_peer(message.last_stream)
         elif isinstance(message, messages.AnswerFailed):
@@ -405,9 +397,9 @@
                 The answer may then have arrived without being read, so the
                 wait for it starts again.
         """
-        if was_paused and self._pinged_at is not None:
-            self._pinged_at = now
-        if self._is_ping_overdue(
+        if was_paused:
+            self._pings.restart(now)
+        if self._pings.is_overdue(
             now, self._monitor.silence_s * PATIENCE_FACTOR
         ):
             self._fail(self._silence())
@@ -416,9 +408,7 @@
         elif self._is_idle(now):
             self.close()
         elif self._is_ping_due(now):
-            self._pinged_at = now
-            self._ping_sequence += 1
-            self.post(None, messages.LinkPing(self._ping_sequence))
+            self.post(None, messages.LinkPing(self._pings.begin(now)))
 
     def _silence(self) -> errors.CodedError:
         """Returns the error of a connection on which no answer arrives."""
@@ -442,29 +432,18 @@
                 stream.end()
 
     def is_suspect(self, now: float) -> bool:
-        """Returns whether a ping is unanswered for over ``SUSPECT_PING_S``."""
-        return self._is_ping_overdue(now, SUSPECT_PING_S)
+        """Tells whether a ping is unanswered for over ``SUSPECT_PING_S``."""
+        return self._pings.is_overdue(now, SUSPECT_PING_S)
 
     def _is_silent(self, now: float) -> bool:
-        return self._is_ping_overdue(
+        return self._pings.is_overdue(
             now, self._monitor.silence_s * PING_TIMEOUT_SHARE
         )
 
-    def _is_ping_overdue(self, now: float, limit_s: float) -> bool:
-        """Returns whether a ping is unanswered for longer than a limit.
-
-        The time that the unacknowledged bytes take on a slow network is added
-        to the limit.
-        """
-        if self._pinged_at is None:
-            return False
-        sending_s = self._unacknowledged_bytes / SLOW_LINK_BYTES_PER_S
-        return now - self._pinged_at > limit_s + sending_s
-
     def _is_ping_due(self, now: float) -> bool:
-        if self._pinged_at is not None or not self.is_open:
+        if self._pings.is_awaited or not self.is_open:
             return False
-        silent_s = now - self._received_at
+        silent_s = now - self._pings.received_at
         if self.stream_count:
             return silent_s >= self._monitor.check_period_s
         return silent_s >= self._idle_ping_period_s
@@ -486,7 +465,7 @@
 
     def next_check_at(self) -> float:
         """Returns when a quiet connection must be checked, a monotonic time."""
-        ping_at = self._received_at + self._idle_ping_period_s
+        ping_at = self._pings.received_at + self._idle_ping_period_s
         if not self._is_opener:
             return ping_at
         return min(ping_at, self._last_stream_at + IDLE_TIMEOUT_S)
