Move the receipt of a peer's configuration to a module of its own

One difference: changes are applied to the version that the request named; before, to the one in force at their end, so that a version of the store that came meanwhile made them unreadable.

--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -7,11 +7,9 @@
 """
 
 from collections.abc import Callable
-import enum
 import math
 import random as random_module
 import time
-from typing import NamedTuple
 
 import anyio
 
@@ -19,13 +17,13 @@
 from rattangauge import errors
 from rattangauge import settings as settings_module
 from rattangauge import supervision
-from rattangauge.config import delta
 from rattangauge.config import edition as edition_module
 from rattangauge.generated import errorcodes
 from rattangauge.generated import logevents
 from rattangauge.generated import messages
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import connection_pool
+from rattangauge.sidecar import configpull
 from rattangauge.sidecar import editionhistory
 from rattangauge.sidecar import stores
 from rattangauge.sidecar import watchers
@@ -62,38 +60,6 @@
 Apply = Callable[[edition_module.Edition], None]
 
 
-class Form(enum.Enum):
-    """How a configuration reached the daemon; the values stand in the log."""
-
-    # Whole, by a read of the store.
-    READ = "read"
-    # Whole, by a watch of the store.
-    WATCH = "watch"
-    # Whole, from a peer.
-    WHOLE = "whole"
-    # As changes since the version in force, from a peer.
-    CHANGES = "changes"
-
-
-class Delivery(NamedTuple):
-    """A configuration and the way it reached the daemon.
-
-    Attributes:
-        edition: The configuration.
-        source: ``store`` or the mesh address of a peer.
-        form: How it was transferred.
-        versions: Number of versions in the answer that carried it.
-        requested_at: Time of the request, on the clock of ``time.monotonic``,
-            in seconds.
-    """
-
-    edition: edition_module.Edition
-    source: str
-    form: Form
-    versions: int
-    requested_at: float
-
-
 class ConfigSync:
     """Applies the newest configuration and sends it to peers that ask."""
 
@@ -160,9 +126,9 @@
         return self.is_store_reachable and age_s < self._times.watching_ttl_s
 
     @property
-    def _call_form(self) -> Form:
+    def _call_form(self) -> configpull.Form:
         """Form of the next call of the store."""
-        return Form.WATCH if self._revision else Form.READ
+        return configpull.Form.WATCH if self._revision else configpull.Form.READ
 
     async def run(self) -> None:
         """Keeps the configuration up to date until cancelled."""
@@ -208,7 +174,7 @@
         """
         form = self._call_form
         requested_at = time.monotonic()
-        if form is Form.WATCH:
+        if form is configpull.Form.WATCH:
             share = self._random.uniform(MIN_WATCH_SHARE, 1.0)
             result = await self._store.watch_configuration(
                 self._revision, share * self._times.watch_s
@@ -336,7 +302,7 @@
     def _adopt_from_store(
         self,
         result: stores.ConfigurationResult,
-        form: Form,
+        form: configpull.Form,
         requested_at: float,
     ) -> None:
         """Applies the configuration of an answer of the store if it is newer.
@@ -354,9 +320,11 @@
             result.version, "", result.objects, b""
         )
         versions = result.answered_versions
-        self._adopt(Delivery(edition, "store", form, versions, requested_at))
+        self._adopt(
+            configpull.Delivery(edition, "store", form, versions, requested_at)
+        )
 
-    def _adopt(self, delivery: Delivery) -> None:
+    def _adopt(self, delivery: configpull.Delivery) -> None:
         """Applies a newer configuration."""
         edition = delivery.edition
         before = self.version
@@ -433,7 +401,9 @@
         self._failed_source = address
         try:
             with anyio.fail_after(PULL_TIMEOUT_S):
-                delivery = await self._receive(address)
+                delivery = await configpull.receive(
+                    self._links, address, self._history.current
+                )
         except errors.CodedError as error:
             code, reason = error.code, error.message
         except errors.FindingsError as error:
@@ -461,46 +431,6 @@
             )
         )
 
-    async def _receive(self, address: str) -> Delivery | None:
-        """Asks a peer for the configuration and receives the reply.
-
-        Returns:
-            The configuration; None if the peer refused, or sent changes that
-            do not lead to a newer version.
-
-        Raises:
-            errors.CodedError: The connection failed or the data is damaged.
-            errors.FindingsError: The configuration is not valid.
-        """
-        requested_at = time.monotonic()
-        data = bytearray()
-        async with self._links.stream(
-            address, connection_pool.SMALL_BODIES
-        ) as stream:
-            await stream.send(messages.EditionRequest(self.version))
-            while True:
-                part = await stream.receive()
-                if not isinstance(part, messages.EditionPart):
-                    return None
-                data += part.data
-                if len(data) > edition_module.max_edition_bytes():
-                    text = f"{address} sent {len(data)} bytes of one version"
-                    raise errors.CodedError(errorcodes.FRAME_OVERSIZED, text)
-                if part.last:
-                    break
-        if not part.delta:
-            edition = edition_module.decode_received(
-                part.version, part.digest, bytes(data)
-            )
-            return Delivery(edition, address, Form.WHOLE, 1, requested_at)
-        current = self._history.current
-        if current is None or part.version <= current.version:
-            return None
-        edition = delta.apply_delta_by_version(
-            current, part.version, bytes(data)
-        )
-        return Delivery(edition, address, Form.CHANGES, 1, requested_at)
-
     async def serve(
         self, stream: connection_pool.Stream, request: messages.EditionRequest
     ) -> None:
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -24,7 +24,7 @@
 from rattangauge.http import server as server_module
 from rattangauge.net import connection_pool
 from rattangauge.net import meshserver
-from rattangauge.sidecar import configsync
+from rattangauge.sidecar import configpull
 from rattangauge.sidecar import upstreamhttp
 from tests import meshes
 
@@ -453,12 +453,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(meshserver.serve_socket, listener, handle, 1.0)
             links = connection_pool.Links(a.settings, tasks)
-            sync = configsync.ConfigSync(
-                a.settings, None, None, links, None, a.log
-            )
             with anyio.fail_after(5.0):
                 with pytest.raises(errors.CodedError) as caught:
-                    await sync._receive(f"{host}:{port}")
+                    await configpull.receive(links, f"{host}:{port}", None)
             tasks.cancel_scope.cancel()
     assert caught.value.code == errorcodes.FRAME_OVERSIZED
     assert sum(sent) < 8 * limit_bytes
--- a/tests/test_readable_editions.py
+++ b/tests/test_readable_editions.py
@@ -17,7 +17,7 @@
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
-from rattangauge.sidecar import configsync
+from rattangauge.sidecar import configpull
 from rattangauge.sidecar import editionhistory
 from tests import largezones
 from tests import meshes
@@ -296,7 +296,7 @@
 
     async with meshes.running() as mesh:
         _watching, followers = await largezones.start(mesh)
-        monkeypatch.setattr(configsync.delta, "apply_delta_by_version", reject)
+        monkeypatch.setattr(configpull.delta, "apply_delta_by_version", reject)
         mesh.publish([TRACK, meshes.path("/new/", "skladby")])
         await largezones.wait_version(mesh, mesh.instances, 2)
         for name in followers:
