--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,10 +26,12 @@
 from tools import soakcallers
 from tools import soakchecks
 from tools import soakfaults
+from tools import soakstrangers
 
 MACHINES = 4
 ZONES = 2
 CALLERS_PER_MACHINE = 6
+STRANGERS_PER_MACHINE = 2
 SLOTS = 40
 SLOT_S = 1.0
 HEAL_S = 20.0
@@ -135,6 +137,9 @@
                     machine, name, count / soakcallers.RATE, self._record
                 )
                 callers.start_soon(caller.run)
+            for number in range(self._options.strangers):
+                seed = f"{self._options.seed}-{machine.name}-stranger-{number}"
+                callers.start_soon(soakstrangers.run, machine, seed)
 
     async def _act(
         self, actions: soakfaults.Faults, fault: schedule.Fault
@@ -259,6 +264,12 @@
         "--slots", type=int, default=SLOTS, help="length of the faults, in s"
     )
     parser.add_argument("--machines", type=int, default=MACHINES)
+    parser.add_argument(
+        "--strangers",
+        type=int,
+        default=STRANGERS_PER_MACHINE,
+        help="callers of each machine that break their connections",
+    )
     parser.add_argument(
         "--mild",
         action="store_true",
