Listen at no port until all ports of a daemon are free

While one port of a new daemon was taken, for example by the daemon before it, the others were opened and closed every 50 ms. A caller that connected in between was accepted by the kernel and reset: a request without an answer (LOST). Cause: each socket listened before the next one was opened. Change: all sockets are bound first, which fails if another socket listens at the address, and listen only then. Measured: test_no_connection_is_accepted_while_another_port_is_taken failed 5 of 5 times before and passes 5 of 5; test_process_ends and test_process_stops pass.

--- a/rattangauge/net/listeners.py
+++ b/rattangauge/net/listeners.py
@@ -41,9 +41,15 @@
 
 
 def _open_all(addresses: Sequence[util.Address]) -> list[socket.socket]:
+    """Opens all sockets before the first one listens.
+
+    No connection is accepted for an attempt that fails at a later address.
+    """
     with contextlib.ExitStack() as stack:
         listeners = [
-            stack.enter_context(util.listen(*address)) for address in addresses
+            stack.enter_context(util.bind(*address)) for address in addresses
         ]
+        for listener in listeners:
+            listener.listen(util.LISTEN_BACKLOG)
         stack.pop_all()
     return listeners
--- a/rattangauge/util.py
+++ b/rattangauge/util.py
@@ -61,17 +61,44 @@
     return address
 
 
+def bind(host: str, port: int = 0) -> socket.socket:
+    """Opens a non-blocking socket that has an address and does not listen.
+
+    Args:
+        host: IP address.
+        port: Port; 0 chooses a free one.
+
+    Raises:
+        OSError: A socket listens at the address, or it does not belong to this
+            host.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            bound.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        bound.bind((host, port))
+    except OSError as error:
+        bound.close()
+        text = f"{error.strerror} (address {host}, port {port})"
+        raise OSError(error.errno, text) from error
+    bound.setblocking(False)
+    return bound
+
+
 def listen(host: str, port: int = 0) -> socket.socket:
     """Opens a non-blocking listening socket; port 0 chooses a free port.
 
     Raises:
         OSError: The address is in use or does not belong to this host.
     """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server(
-        (host, port), family=family, backlog=LISTEN_BACKLOG
-    )
-    listener.setblocking(False)
+    listener = bind(host, port)
+    try:
+        listener.listen(LISTEN_BACKLOG)
+    except OSError:
+        listener.close()
+        raise
     return listener
 
 
