Move the timeout of a caller's connection to a module of its own

The timer, which is restarted with each read, is a class with tests of its own. A timeout that is cancelled can be restarted; nothing does so today.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -14,6 +14,7 @@
 from rattangauge.http import owner
 from rattangauge.http import pacing
 from rattangauge.http import parsing
+from rattangauge.http import timeout
 
 # Maximum number of requests of one connection that are handled at a time.
 MAX_CONCURRENT = 16
@@ -74,9 +75,7 @@
         self._linger_unsent_at = 0.0
         self._has_sent_continue = False
         self._is_parse_due = False
-        self._timeout_at = math.inf
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = math.inf
+        self._timeout = timeout.Timeout(self._handle_timeout)
 
     @property
     def is_busy(self) -> bool:
@@ -127,7 +126,7 @@
             limits_module.message_limits(limits)
         )
         self._server.add(self)
-        self._set_timeout(limits.idle_s)
+        self._timeout.restart(limits.idle_s)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and starts the requests in them."""
@@ -145,20 +144,19 @@
         self._tasks.cancel()
         self._server.memory.update(self, 0)
         self._server.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timeout.cancel()
 
     def pause_writing(self) -> None:
         """Stops sending while the send buffer is full."""
         self._is_paused = True
         if not self._is_ending:
-            self._set_timeout(SEND_TIMEOUT_S)
+            self._timeout.restart(SEND_TIMEOUT_S)
 
     def resume_writing(self) -> None:
         """Sends the responses that were held back."""
         self._is_paused = False
         if not self._is_ending:
-            self._set_timeout(math.inf)
+            self._timeout.restart(math.inf)
             self._send_responses()
 
     def close(self, reason: str) -> None:
@@ -372,37 +370,15 @@
         """Sets the timeout for the next bytes of the caller."""
         limits = self._server.limits
         if self._reader.has_headers:
-            self._set_timeout(limits.body_s)
+            self._timeout.restart(limits.body_s)
         elif self._reader.has_begun:
-            self._set_timeout(limits.header_s)
+            self._timeout.restart(limits.header_s)
         else:
-            self._set_timeout(math.inf if self._running else limits.idle_s)
+            self._timeout.restart(math.inf if self._running else limits.idle_s)
 
-    def _set_timeout(self, seconds: float) -> None:
-        """Sets the timeout of the connection, counted from now.
-
-        A timer that runs out earlier is kept and restarted for the rest of the
-        time, which is cheaper than a new timer for each read.
-        """
-        self._timeout_at = time.monotonic() + seconds
-        if self._timeout_at < self._timer_at:
-            self._start_timer(seconds)
-
-    def _start_timer(self, seconds: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = time.monotonic() + seconds
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._handle_timer)
-
-    def _handle_timer(self) -> None:
-        """Handles the end of the timer, which may be before the timeout."""
-        self._timer, self._timer_at = None, math.inf
-        remaining_s = self._timeout_at - time.monotonic()
-        if remaining_s > 0.0:
-            if remaining_s < math.inf:
-                self._start_timer(remaining_s)
-        elif self._is_ending:
+    def _handle_timeout(self) -> None:
+        """Handles the end of the time for what the connection waits for."""
+        if self._is_ending:
             self._handle_linger_timer()
         elif self._is_paused:
             self._abort_unread()
@@ -468,7 +444,7 @@
             return
         self._pacer.hold(False)
         self._server.add_lingering(self)
-        self._set_timeout(linger_s)
+        self._timeout.restart(linger_s)
         try:
             self._transport.write_eof()
         except OSError as error:  # asyncio reports the caller's reset here
@@ -500,7 +476,7 @@
             self._abort_unread()
             return
         self._linger_unsent_bytes = left_bytes
-        self._set_timeout(LINGER_S)
+        self._timeout.restart(LINGER_S)
 
     def _abort_unread(self) -> None:
         loguru.logger.warning(
