Move the acceptor and its filter to the network modules

The port for other daemons uses them like the port of the callers; they speak no HTTP. Nothing else changes. Measured: test_ending_connections, test_server_end, test_loop_failures and test_process_stops pass.

--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -15,11 +15,11 @@
 import loguru
 
 from rattangauge import receivememory
-from rattangauge.http import acceptor
 from rattangauge.http import callerconnection
 from rattangauge.http import limits as limits_module
 from rattangauge.http import messages
 from rattangauge.http import owner
+from rattangauge.net import acceptor
 
 # Connections that linger at a time; beyond it the earliest are closed.
 MAX_LINGERING = 256
--- a/rattangauge/net/acceptor.py
+++ b/rattangauge/net/acceptor.py
@@ -15,7 +15,7 @@
 import loguru
 
 from rattangauge import util
-from rattangauge.http import synfilter
+from rattangauge.net import synfilter
 
 # Iterations of the event loop after which each connection that the loop has
 # accepted has been passed to its protocol.
--- a/rattangauge/net/meshserver.py
+++ b/rattangauge/net/meshserver.py
@@ -9,7 +9,7 @@
 from rattangauge import settings as settings_module
 from rattangauge import supervision
 from rattangauge import util
-from rattangauge.http import acceptor
+from rattangauge.net import acceptor
 from rattangauge.net import connection_monitor
 from rattangauge.net import connections
 
