Log the end of a connection under an upload as what it is

A connection that ended before the answer to a call with a body was sent stood in the log as an unexpected error of the daemon, with a trace. Cause: the task group that receives the body wraps the expected error in a group, which the handler of the stream does not know. Change: forward.serve raises the first error of the group, as forward.forward does. Measured: test_a_connection_that_ends_under_an_upload_is_no_unexpected_error failed before with ExceptionGroup and passes; test_forward and test_process_calls pass.

--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -407,6 +407,9 @@
         stream: Stream on which the call arrived.
         opened: First message of the call.
         handler: Runs the call.
+
+    Raises:
+        errors.CodedError: The connection ended before the response was sent.
     """
     deadline = time.monotonic() + opened.deadline_ms / 1000
 
@@ -430,11 +433,14 @@
             await run(None)
         return
     incoming = _IncomingBody(stream)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(incoming.receive, call_scope)
-        with call_scope:
-            await run(incoming.pieces())
-        tasks.cancel_scope.cancel()
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(incoming.receive, call_scope)
+            with call_scope:
+                await run(incoming.pieces())
+            tasks.cancel_scope.cancel()
+    except BaseExceptionGroup as group:
+        raise errors.first_error(group) from group
 
 
 async def _run_handler(
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -305,3 +305,27 @@
         assert connection_pool.backoff_s(3, 0.0) < connection_pool.backoff_s(
             3, 1.0
         )
+
+
+class LostStream:
+    """A stream whose connection ends before the answer is sent."""
+
+    async def send(self, _message):
+        """Fails as the connection has ended."""
+        raise errors.CodedError(errorcodes.LINK_CLOSED, "the connection ended")
+
+    async def receive(self):
+        """Receives nothing."""
+        await anyio.sleep_forever()
+
+
+async def test_a_connection_that_ends_under_an_upload_is_no_unexpected_error():
+    """Guards against a log line about a fault of this daemon."""
+
+    async def handler(_request, _respond):
+        raise exchange.not_run(errorcodes.CALL_OVERLOADED, "no room")
+
+    opened = peers.request().open._replace(last=False)
+    with pytest.raises(errors.CodedError) as caught, anyio.fail_after(1):
+        await forward.serve(LostStream(), opened, handler)
+    assert caught.value.code == errorcodes.LINK_CLOSED
