Cut no caller that reads its response slowly

Cause: the timer of a connection with a full buffer was set once; the event loop reports room only when the buffer is almost empty. Change: at the end of the timer the connection is aborted only if nothing was read since. Measured: test_slow_readers failed in all 4 cases before and passes; test_http_server, test_unread_responses and test_server_end pass.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -69,8 +69,11 @@
         self._has_received = False
         # Whether it was closed while no request was expected.
         self._was_idle = False
-        # Bytes of responses that were left when the timer of a lingering
-        # connection last ended, and the time since which they are.
+        # Bytes of responses that were left when the timer of a connection with
+        # a full buffer last ended.
+        self._paused_unsent_bytes = 0
+        # The same for a lingering connection, and the time since which they
+        # are.
         self._linger_unsent_bytes = 0
         self._linger_unsent_at = 0.0
         self._has_sent_continue = False
@@ -150,6 +153,7 @@
         """Stops sending while the send buffer is full."""
         self._is_paused = True
         if not self._is_ending:
+            self._paused_unsent_bytes = self.unsent_bytes
             self._timeout.restart(SEND_TIMEOUT_S)
 
     def resume_writing(self) -> None:
@@ -381,7 +385,7 @@
         if self._is_ending:
             self._handle_linger_timer()
         elif self._is_paused:
-            self._abort_unread()
+            self._handle_paused_timer()
         elif self._running:
             self._set_read_timeout()
         elif self._reader.has_begun:
@@ -478,8 +482,14 @@
         self._linger_unsent_bytes = left_bytes
         self._timeout.restart(LINGER_S)
 
+    def _handle_paused_timer(self) -> None:
+        """Aborts the connection unless its caller has read some bytes."""
+        left_bytes = self.unsent_bytes
+        if left_bytes >= self._paused_unsent_bytes:
+            self._abort_unread()
+            return
+        self._paused_unsent_bytes = left_bytes
+        self._timeout.restart(SEND_TIMEOUT_S)
+
     def _abort_unread(self) -> None:
-        loguru.logger.warning(
-            "connection aborted: the caller does not read its response"
-        )
-        self._transport.abort()
+        self.abort("the caller does not read its response")
