Reuse no connection whose end has arrived

Callers got 502 for a POST whose request went out on a connection that the upstream had closed (review: 12 of 187 at the crossing of an idle timeout, none had run). Cause: the check before the reuse knew only what the event loop had read. Change: it asks the kernel as well. Measured: test_no_request_is_sent_behind_an_end_that_was_not_read_yet failed on both loops before; test_http_client passes three times.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import os
+import select
 import socket
 import time
 from typing import Any
@@ -76,6 +77,13 @@
         # which may be before it calls connection_lost.
         return not self._has_ended and not self._transport.is_closing()
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes, or the end, have arrived and were not read yet."""
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
         self._transport: Any = transport
@@ -285,7 +293,8 @@
         now = time.monotonic()
         while may_reuse and self._idle:
             connection = self._idle.pop()
-            if connection.is_open and now < connection.reusable_until:
+            is_current = now < connection.reusable_until
+            if connection.is_open and is_current and not connection.has_unread:
                 return connection
             connection.abort()
         loop = asyncio.get_running_loop()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """HTTP client with upstreams that send scripted bytes."""
 
 import contextlib
+import os
 import socket
 import struct
 import time
@@ -263,6 +264,19 @@
         assert len(accepted) == 3
 
 
+async def test_no_request_is_sent_behind_an_end_that_was_not_read_yet():
+    """Guards against requests on connections that the upstream has closed."""
+    async with scripted(answer_each) as (client, accepted):
+        await client.exchange(request())
+        # The loop has no time to read the end before the next request.
+        raw = accepted[0].extra(anyio.abc.SocketAttribute.raw_socket)
+        with socket.socket(fileno=os.dup(raw.fileno())) as duplicate:
+            duplicate.shutdown(socket.SHUT_WR)
+        response = await client.exchange(request(b"x", "POST"))
+        assert response.status == 200
+        assert len(accepted) == 2
+
+
 async def test_the_upstreams_keep_alive_is_respected():
     """Guards against requests on a connection that the upstream closes."""
     data = OK.replace(OWN, OWN + b"Keep-Alive: timeout=1\r\n")
