Send large answers of other daemons in parts

The answer was lost though the request had run; the same request at the upstream's own machine was answered. Cause: the daemon of the upstream sent each answer as one message, and messages between daemons have at most 1 MiB. Change: an answer that does not fit is sent as head and parts, as the credit of the stream allows, and joined by the daemon of the caller within the memory of received messages. Measured: test_a_large_answer_of_another_machine_arrives, real processes, failed in all 8 cases before and passes; parts without end and many large answers at once stay within the memory (test_large_answers).

--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -8,10 +8,13 @@
 import loguru
 
 from rattangauge import errors
+from rattangauge import receivememory
 from rattangauge.calls import exchange
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.net import answerparts
 from rattangauge.net import connection_pool
+from rattangauge.net import frames
 
 # A larger body has a separate connection and is sent only after the other
 # daemon has a slot for its call.
@@ -96,21 +99,30 @@
 
 
 async def forward_buffered(
-    links: connection_pool.Links, address: str, request: exchange.Request
+    links: connection_pool.Links,
+    address: str,
+    request: exchange.Request,
+    memory: receivememory.ReceiveMemory,
 ) -> messages.AnswerOpen:
     """Forwards a call with its complete body and returns the response.
 
-    This costs less than ``forward``, as the request and the response are one
-    message each. A body above ``LARGE_BODY_BYTES`` is sent only after the
+    This costs less than ``forward``, as the request is one message and the
+    response mostly is. A body above ``LARGE_BODY_BYTES`` is sent only after the
     other daemon has a slot for the call, so that a refused call costs no more
     than its head.
 
+    Args:
+        links: Connections to the other daemons.
+        address: Mesh address of the other daemon.
+        request: The call.
+        memory: Memory of all messages that have been received in part.
+
     Raises:
         exchange.CallFailed: No complete response arrived; ``ConnectionLost`` if
             the connection failed.
     """
     if len(request.open.body) > LARGE_BODY_BYTES:
-        return await _forward_large_body(links, address, request)
+        return await _forward_large_body(links, address, request, memory)
     stream = None
     is_answered = False
     try:
@@ -120,8 +132,11 @@
             raise TimeoutError
         await _send_head(stream, request)
         message = await stream.receive(request.deadline)
+        answer = _checked_answer(message, request.open.call_id)
+        if not answer.last:
+            answer = await _joined_answer(stream, answer, request, memory)
         is_answered = True
-        return _complete_answer(message, request.open.call_id)
+        return answer
     except exchange.CallFailed:
         raise
     except errors.CodedError as error:
@@ -137,7 +152,10 @@
 
 
 async def _forward_large_body(
-    links: connection_pool.Links, address: str, request: exchange.Request
+    links: connection_pool.Links,
+    address: str,
+    request: exchange.Request,
+    memory: receivememory.ReceiveMemory,
 ) -> messages.AnswerOpen:
     """Forwards a call whose body is sent when the other daemon asks for it.
 
@@ -154,7 +172,11 @@
         is_body_sent = True
 
     async def store_answer(response: exchange.Response) -> None:
-        answers.append(response.open)
+        answer = response.open
+        if response.body is not None:
+            body = await answerparts.join(response.body, memory)
+            answer = answer._replace(body=body, last=True)
+        answers.append(answer)
 
     opened = request.open._replace(body=b"", last=False, body_bytes=len(body))
     split = request._replace(open=opened, body=pieces())
@@ -164,7 +186,7 @@
         if is_body_sent or failure.outcome == messages.Outcome.NOT_RUN:
             raise
         raise _not_run_failure(failure) from failure
-    return _complete_answer(answers[0], request.open.call_id)
+    return answers[0]
 
 
 def _not_run_failure(failure: exchange.CallFailed) -> exchange.CallFailed:
@@ -174,20 +196,23 @@
     return exchange.not_run(failure.code, failure.message)
 
 
-def _complete_answer(
-    message: messages.Message, call_id: str
+async def _joined_answer(
+    stream: connection_pool.Stream,
+    first: messages.AnswerOpen,
+    request: exchange.Request,
+    memory: receivememory.ReceiveMemory,
 ) -> messages.AnswerOpen:
-    """Returns the only message of the answer to a call.
+    """Returns an answer with the parts of its body joined.
 
     Raises:
-        exchange.CallFailed: The message is a failure, belongs to another call,
-            or is not the only one.
+        exchange.CallFailed: The other daemon sent a failure, or more than the
+            memory holds.
+        TimeoutError: The body was not complete by the deadline.
     """
-    answer = _checked_answer(message, call_id)
-    if not answer.last:
-        text = "an answer came in parts to a call that takes a whole one"
-        raise exchange.unknown(text, errorcodes.FRAME_UNEXPECTED)
-    return answer
+    pieces = _answer_body(stream, request.open.call_id)
+    with anyio.fail_after(request.deadline - time.monotonic()):
+        body = await answerparts.join(pieces, memory)
+    return first._replace(body=body, last=True)
 
 
 async def _send_head(
@@ -414,7 +439,7 @@
     deadline = time.monotonic() + opened.deadline_ms / 1000
 
     async def respond(response: exchange.Response) -> None:
-        await stream.send(response.open)
+        await _send_answer(stream, response.open)
         if response.body is not None:
             async for piece in response.body:
                 await stream.send_data(messages.AnswerData, piece, False)
@@ -443,6 +468,25 @@
         raise errors.first_error(group) from group
 
 
+async def _send_answer(
+    stream: connection_pool.Stream, answer: messages.AnswerOpen
+) -> None:
+    """Sends an answer; in parts if it is too large for one message.
+
+    Raises:
+        errors.CodedError: The connection ended.
+    """
+    if len(answer.body) < frames.MAX_FRAME_BYTES:
+        try:
+            await stream.send(answer)
+            return
+        except errors.CodedError as error:
+            if error.code != errorcodes.FRAME_OVERSIZED:
+                raise
+    await stream.send(answer._replace(body=b"", last=False))
+    await stream.send_data(messages.AnswerData, answer.body, answer.last)
+
+
 async def _run_handler(
     handler: exchange.Handler,
     request: exchange.Request,
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -4,6 +4,7 @@
 import time
 
 from rattangauge import decisionlog
+from rattangauge import receivememory
 from rattangauge import settings as settings_module
 from rattangauge.calls import call_queue
 from rattangauge.calls import exchange
@@ -66,6 +67,7 @@
         links: connection_pool.Links,
         peers: peers_module.PeerTable,
         local_upstream: localupstream.LocalUpstream,
+        memory: receivememory.ReceiveMemory,
         log: decisionlog.DecisionLog,
     ) -> None:
         """Creates a dispatcher without a configuration."""
@@ -74,6 +76,7 @@
         self._links = links
         self._peers = peers
         self._local_upstream = local_upstream
+        self._memory = memory
         self._call_log = calllog.CallLog(log)
         self._route_table: routes.RouteTable | None = None
         self._limits = server_module.Limits()
@@ -383,7 +386,7 @@
         if peer is self._peers.own:
             return await self._local_upstream.execute(request)
         return await forward.forward_buffered(
-            self._links, peer.member.mesh, request
+            self._links, peer.member.mesh, request, self._memory
         )
 
     def _update_peer(
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -101,6 +101,7 @@
             self._links,
             self._peers,
             self._local_upstream,
+            self._memory,
             log,
         )
         self._config_sync = configsync.ConfigSync(
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.streams import buffered
 
+from rattangauge import receivememory
 from rattangauge import settings as settings_module
 from rattangauge import util
 from rattangauge.calls import exchange
@@ -17,6 +18,9 @@
 from rattangauge.net import frames
 from rattangauge.net import meshserver
 
+# Memory of messages that no test fills.
+MEMORY = receivememory.ReceiveMemory()
+
 
 def settings(**mesh):
     """Returns the settings of a daemon that listens on loopback."""
--- a/tests/test_call_outcomes.py
+++ b/tests/test_call_outcomes.py
@@ -87,7 +87,7 @@
     def __init__(self, settings, peers, cases):
         """Creates a dispatcher for one call."""
         log = decisionlog.DecisionLog("own", "zone-1", len)
-        super().__init__(settings, NAMES, None, peers, None, log)
+        super().__init__(settings, NAMES, None, peers, None, None, log)
         self._cases = list(cases)
         self.runs = 0
 
--- a/tests/test_ending_connections.py
+++ b/tests/test_ending_connections.py
@@ -32,7 +32,9 @@
     """Forwards a call; returns its status, or the outcome of its failure."""
     request = peers.request(call_id, 5.0, **fields)
     try:
-        answer = await forward.forward_buffered(links, address, request)
+        answer = await forward.forward_buffered(
+            links, address, request, peers.MEMORY
+        )
     except exchange.CallFailed as failure:
         return failure.outcome
     return answer.status
--- /dev/null
+++ b/tests/test_large_answers.py
@@ -0,0 +1,119 @@
+"""Answers of other daemons that are larger than one message."""
+
+import anyio
+import pytest
+
+from rattangauge import receivememory
+from rattangauge.calls import exchange
+from rattangauge.generated import messages
+from rattangauge.net import forward
+from standins import appworker
+from standins import configurations
+from tests import meshes
+from tests import peers
+from tools import platformfleet
+
+PATH = configurations.path(
+    "/order/", "objednavky", kind="unsafe", **{"timeout-s": 5.0}
+)
+# Memory of the smallest machines of the platform.
+MEMORY_BYTES = 200 * 1024 * 1024
+PIECE = b"x" * 65_536
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.mark.parametrize("size", [1_048_500, 1_048_576, 2_000_000, 8_000_000])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_large_answer_of_another_machine_arrives(size, method):
+    """Guards against an answer that is too large for one message."""
+
+    async def sized(request):
+        return appworker.sealed(request, b"x" * size)
+
+    async with platformfleet.running() as fleet:
+        fleet.publish([PATH], ("skladby", "objednavky"))
+        for name, service in (("a", "skladby"), ("b", "objednavky")):
+            await fleet.add(name, service)
+            fleet.start(name)
+        await fleet.wait_ready()
+        await fleet.wait_served("a", "/order/1")
+        fleet.machines["b"].upstream.behaviour = sized
+        machine = fleet.machines["a"]
+        caller = meshes.Caller(
+            await anyio.connect_tcp(machine.host, machine.ports["callers"])
+        )
+        body = b"y" * 50_000 if method == "POST" else b""
+        await caller.send("/order/1", method, body, deadline_ms=4900)
+        status, _headers, answer_body = await caller.receive()
+        await caller.close()
+    assert status == 200, answer_body
+    assert answer_body == b"x" * size
+
+
+@pytest.mark.parametrize("request_body", [b"", b"y" * 50_000])
+async def test_an_answer_in_parts_without_end_is_given_up(request_body):
+    """Guards against a daemon that fills the memory of another one."""
+    memory = receivememory.ReceiveMemory(MEMORY_BYTES)
+    sizes = []
+
+    async def script(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        if request_body:
+            await peer.send(number, messages.Credit(bytes=0))
+        await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+        while True:
+            await peer.send(number, messages.AnswerData(PIECE, False))
+            sizes.append(len(PIECE))
+
+    async with peers.scripted(script) as address, peers.pool() as links:
+        request = peers.request()
+        opened = request.open._replace(body=request_body)
+        request = request._replace(open=opened)
+        with pytest.raises(exchange.CallFailed) as caught, anyio.fail_after(10):
+            await forward.forward_buffered(links, address, request, memory)
+    assert caught.value.outcome == messages.Outcome.UNKNOWN
+    assert "bytes" in caught.value.message
+    assert sum(sizes) < 3 * memory.limit_bytes
+    assert memory.used_bytes == 0
+
+
+async def test_parts_of_several_answers_share_the_memory():
+    """Guards against many answers that each stay within the bound."""
+    memory = receivememory.ReceiveMemory(MEMORY_BYTES)
+    count = 8
+    pieces = memory.message_bytes // len(PIECE) - 1
+    outcomes = []
+
+    async def script(peer):
+        calls = [await peer.receive(messages.CallOpen) for _ in range(count)]
+        for number, opened in calls:
+            await peer.send(number, messages.AnswerOpen(opened.call_id, 200))
+        for _ in range(pieces):
+            for number, _opened in calls:
+                await peer.send(number, messages.AnswerData(PIECE, False))
+        for number, _opened in calls:
+            await peer.send(number, messages.AnswerData(b"", True))
+        await anyio.sleep(1)
+
+    async def call(links, address, number):
+        try:
+            answer = await forward.forward_buffered(
+                links, address, peers.request(f"c{number}"), memory
+            )
+            outcomes.append(len(answer.body))
+        except exchange.CallFailed as failure:
+            outcomes.append(failure.outcome)
+
+    async with peers.scripted(script) as address, peers.pool() as links:
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                for number in range(count):
+                    tasks.start_soon(call, links, address, number)
+    whole = [size for size in outcomes if size == pieces * len(PIECE)]
+    assert whole
+    assert outcomes.count(messages.Outcome.UNKNOWN) == count - len(whole) > 0
+    assert memory.used_bytes == 0
--- a/tests/test_paused_daemons.py
+++ b/tests/test_paused_daemons.py
@@ -37,7 +37,7 @@
     ):
         with anyio.fail_after(10):
             received = await forward.forward_buffered(
-                links, address, peers.request()
+                links, address, peers.request(), peers.MEMORY
             )
     assert received.body == b"done"
 
@@ -52,12 +52,16 @@
         async with anyio.create_task_group() as tasks:
             # Another call keeps the connection open.
             tasks.start_soon(
-                forward.forward_buffered, links, address, peers.request("c2")
+                forward.forward_buffered,
+                links,
+                address,
+                peers.request("c2"),
+                peers.MEMORY,
             )
             await anyio.sleep(0.05)
             with pytest.raises(forward.ConnectionLost):
                 await forward.forward_buffered(
-                    links, address, peers.request(idempotent=True)
+                    links, address, peers.request(idempotent=True), peers.MEMORY
                 )
             assert anyio.current_time() - began < PAUSE_S
             assert links.is_suspect(address)
@@ -71,7 +75,11 @@
     ):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                forward.forward_buffered, links, address, peers.request()
+                forward.forward_buffered,
+                links,
+                address,
+                peers.request(),
+                peers.MEMORY,
             )
             await anyio.sleep(0.05)
             (connection,) = links._connections.values()
@@ -99,7 +107,10 @@
         with pytest.raises(forward.ConnectionLost) as caught:
             with anyio.fail_after(20):
                 await forward.forward_buffered(
-                    links, address, peers.request(timeout_s=1000.0)
+                    links,
+                    address,
+                    peers.request(timeout_s=1000.0),
+                    peers.MEMORY,
                 )
     assert caught.value.outcome == messages.Outcome.UNKNOWN
     assert caught.value.code == errorcodes.CALL_OUTCOME_UNKNOWN
