Name the address that a new daemon waits for

While a port was taken, the log line of a daemon that waits for it did not say which (review: two settings with one address, and the daemon never serves). listen() gives no address in its error; bind() does. Measured: test_an_error_of_listen_names_the_address failed before.

--- a/rattangauge/net/listeners.py
+++ b/rattangauge/net/listeners.py
@@ -50,6 +50,6 @@
             stack.enter_context(util.bind(*address)) for address in addresses
         ]
         for listener in listeners:
-            listener.listen(util.LISTEN_BACKLOG)
+            util.start_listening(listener)
         stack.pop_all()
     return listeners
--- a/rattangauge/util.py
+++ b/rattangauge/util.py
@@ -61,6 +61,12 @@
     return address
 
 
+def _address_error(error: OSError, host: str, port: int) -> OSError:
+    """Returns an error with the address at which it came."""
+    text = f"{error.strerror} (address {host}, port {port})"
+    return OSError(error.errno, text)
+
+
 def bind(host: str, port: int = 0) -> socket.socket:
     """Opens a non-blocking socket that has an address and does not listen.
 
@@ -81,8 +87,7 @@
         bound.bind((host, port))
     except OSError as error:
         bound.close()
-        text = f"{error.strerror} (address {host}, port {port})"
-        raise OSError(error.errno, text) from error
+        raise _address_error(error, host, port) from error
     bound.setblocking(False)
     return bound
 
@@ -95,13 +100,26 @@
     """
     listener = bind(host, port)
     try:
-        listener.listen(LISTEN_BACKLOG)
+        start_listening(listener)
     except OSError:
         listener.close()
         raise
     return listener
 
 
+def start_listening(bound: socket.socket) -> None:
+    """Makes a socket from ``bind`` accept connections.
+
+    Raises:
+        OSError: Another socket listens at the address.
+    """
+    try:
+        bound.listen(LISTEN_BACKLOG)
+    except OSError as error:
+        host, port = bound.getsockname()[:2]
+        raise _address_error(error, host, port) from error
+
+
 def now_ms() -> int:
     """Returns the wall-clock time in milliseconds since 1970."""
     return time.time_ns() // 1_000_000
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -91,6 +91,13 @@
         listener.close()
 
 
+async def test_an_error_of_listen_names_the_address():
+    """Guards against a log line that leaves open which port is taken."""
+    address = util.Address("127.0.0.1", free_port())
+    with pytest.raises(OSError, match=f"port {address.port}"):
+        listeners._open_all([address, address])
+
+
 async def test_an_address_that_no_wait_can_mend_is_an_error():
     """Guards against a daemon that waits for ever for an invalid address."""
     with pytest.raises(OSError) as raised:
