Start with any bound that the platform may set

Change: wider ranges; a time below 0.5 s has the effect of 0.5 s. Measured: 4 cases of test_settings and 2 of test_watchtimes failed before; test_platform_adapter and test_process_ends pass.

--- a/rattangauge/sidecar/watchtimes.py
+++ b/rattangauge/sidecar/watchtimes.py
@@ -9,6 +9,8 @@
 
 from rattangauge.generated import settings as generated
 
+# A shorter time would keep a daemon busy with calls of the store.
+MIN_STABLE_S = 0.5
 # Shares of ``platform.stable_s``. The margin is what is left to read the
 # configuration after a silent connection was noticed.
 MARGIN_SHARE = 1 / 6
@@ -38,11 +40,13 @@
 def from_settings(platform: generated.Platform) -> WatchTimes:
     """Returns the times that the settings of the platform allow.
 
+    A shorter time than ``MIN_STABLE_S`` has the effect of that one.
+
     >>> platform = generated.Platform("http://store", 1.0, stable_s=3.0)
     >>> [round(time_s, 3) for time_s in from_settings(platform)]
     [1.5, 2.0, 1.2, 0.5]
     """
-    stable_s = platform.stable_s
+    stable_s = max(MIN_STABLE_S, platform.stable_s)
     margin_s = MARGIN_SHARE * stable_s
     watch_s = max(
         MIN_WATCH_SHARE * stable_s, stable_s - platform.timeout_s - margin_s
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -55,6 +55,22 @@
     assert finding.startswith(f"f: {section}.{key}: {expected}")
 
 
+@pytest.mark.parametrize(
+    ("section", "key", "value"),
+    [
+        ("platform", "stable_s", 0.0),
+        ("platform", "stable_s", 0.25),
+        ("platform", "stable_s", 600),
+        ("instance", "link_mbps", 1e7),
+    ],
+)
+def test_a_bound_of_the_platform_ends_no_start(section, key, value):
+    """Guards against a start that fails for a short bound or a fast link."""
+    changed = {**VALID, section: {**VALID[section], key: value}}
+    parsed = settings_module.parse(fleet.format_settings(changed), "f")
+    assert getattr(getattr(parsed, section), key) == value
+
+
 def test_all_findings_are_reported_together():
     """Guards against a daemon that reports one finding per start."""
     assert findings("extra", a=1) == [
--- a/tests/test_watchtimes.py
+++ b/tests/test_watchtimes.py
@@ -28,3 +28,10 @@
         watchtimes.from_settings(long).watch_s
         > 1.5 * watchtimes.from_settings(short).watch_s
     )
+
+
+@pytest.mark.parametrize("stable_s", [0.0, 0.25])
+def test_a_very_short_bound_leaves_times_between_calls_of_the_store(stable_s):
+    """Guards against watches without a length that keep the store busy."""
+    platform = generated.Platform("http://store", 1.0, stable_s=stable_s)
+    assert min(watchtimes.from_settings(platform)) >= 0.05
