Announce no length of 0 in an answer to HEAD

An upstream that answers GET in chunks announces no length for HEAD; the daemon told its caller that the document has 0 bytes (review, by reading).

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -416,9 +416,10 @@
         length = b"%d" % len(response.body)
         body = response.body
         if method == "HEAD":
-            length = response.header(b"content-length") or length
+            # Empty if the upstream does not tell the length either.
+            length = response.header(b"content-length")
             body = b""
-        if response.status not in (204, 304):
+        if length and response.status not in (204, 304):
             headers.append((b"content-length", length))
         if not keeps_alive:
             headers.append((b"connection", b"close"))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -83,6 +83,20 @@
     assert positions == sorted(positions)
 
 
+@pytest.mark.parametrize("headers", [(), ((b"content-length", b"7"),)])
+async def test_an_answer_to_head_announces_no_length_of_its_own(headers):
+    """Guards against the length 0 for a document that has another one."""
+
+    async def answer(_request):
+        return messages.Response(200, headers)
+
+    received = await exchange(
+        b"HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", answer
+    )
+    assert (b"content-length" in received) == bool(headers)
+    assert b"content-length: 0" not in received
+
+
 async def test_requests_sent_ahead_do_not_wait_for_each_other():
     """Guards against a slow request that delays pipelined ones after it."""
     running = []
