Never take a call as not run whose answer has begun

Review of the answers in parts: a failure or the end of a connection after the first part gave the outcome not run, so that a call could run twice; an answer that was given up after its last part was a 200 without a body; and an answer in parts waited without end for a peer that takes none. Change: once the head has arrived the outcome is unknown; the end of the parts looks whether they were given up; sending ends at the deadline of the call. Measured: the four new cases of test_large_answers failed before; the file and test_forward pass.

--- a/rattangauge/net/answerparts.py
+++ b/rattangauge/net/answerparts.py
@@ -56,6 +56,8 @@
     try:
         async for piece in pieces:
             parts.add(piece, memory)
+        # It may have been given up after the last part with bytes.
+        parts.add(b"", memory)
         return bytes(parts.body)
     finally:
         memory.update(parts, 0)
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -174,7 +174,7 @@
     async def store_answer(response: exchange.Response) -> None:
         answer = response.open
         if response.body is not None:
-            body = await answerparts.join(response.body, memory)
+            body = await _join_body(response.body, memory)
             answer = answer._replace(body=body, last=True)
         answers.append(answer)
 
@@ -196,6 +196,23 @@
     return exchange.not_run(failure.code, failure.message)
 
 
+async def _join_body(
+    pieces: AsyncIterator[bytes], memory: receivememory.ReceiveMemory
+) -> bytes:
+    """Returns the body of an answer that arrives in parts.
+
+    Raises:
+        exchange.CallFailed: The rest did not arrive, or takes too much memory.
+            The outcome is unknown, since the answer has begun.
+    """
+    try:
+        return await answerparts.join(pieces, memory)
+    except exchange.CallFailed as failure:
+        raise exchange.unknown(failure.message, failure.code) from failure
+    except errors.CodedError as error:
+        raise ConnectionLost(str(error), True) from error
+
+
 async def _joined_answer(
     stream: connection_pool.Stream,
     first: messages.AnswerOpen,
@@ -211,7 +228,7 @@
     """
     pieces = _answer_body(stream, request.open.call_id)
     with anyio.fail_after(request.deadline - time.monotonic()):
-        body = await answerparts.join(pieces, memory)
+        body = await _join_body(pieces, memory)
     return first._replace(body=body, last=True)
 
 
@@ -439,7 +456,14 @@
     deadline = time.monotonic() + opened.deadline_ms / 1000
 
     async def respond(response: exchange.Response) -> None:
-        await _send_answer(stream, response.open)
+        remaining_s = max(0.0, deadline - time.monotonic())
+        with anyio.move_on_after(remaining_s) as scope:
+            await _send_answer(stream, response.open)
+        if scope.cancelled_caught:
+            loguru.logger.info(
+                "the answer to call {} was not read in time", opened.call_id
+            )
+            return
         if response.body is not None:
             async for piece in response.body:
                 await stream.send_data(messages.AnswerData, piece, False)
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -6,6 +6,7 @@
 from rattangauge import receivememory
 from rattangauge.calls import exchange
 from rattangauge.generated import messages
+from rattangauge.net import answerparts
 from rattangauge.net import forward
 from standins import appworker
 from standins import configurations
@@ -117,3 +118,87 @@
     assert whole
     assert outcomes.count(messages.Outcome.UNKNOWN) == count - len(whole) > 0
     assert memory.used_bytes == 0
+
+
+async def expect_unknown(script, request_body=b""):
+    """Forwards a call that fails with an unknown outcome."""
+
+    async def answer(peer):
+        number, opened = await peer.receive(messages.CallOpen)
+        if request_body:
+            await peer.send(number, messages.Credit(bytes=65_536))
+        head = messages.AnswerOpen(opened.call_id, 200)
+        await peer.send(number, head)
+        await peer.send(number, messages.AnswerData(PIECE, False))
+        await script(peer, number, opened)
+        await anyio.sleep(1)
+
+    async with peers.scripted(answer) as address, peers.pool() as links:
+        request = peers.request()
+        opened = request.open._replace(body=request_body)
+        request = request._replace(open=opened)
+        with pytest.raises(exchange.CallFailed) as caught, anyio.fail_after(5):
+            await forward.forward_buffered(
+                links, address, request, peers.MEMORY
+            )
+    assert caught.value.outcome == messages.Outcome.UNKNOWN
+    assert peers.MEMORY.used_bytes == 0
+
+
+@pytest.mark.parametrize("request_body", [b"", b"y" * 50_000])
+async def test_a_call_whose_answer_has_begun_is_never_not_run(request_body):
+    """Guards against a call that runs again after a part of its answer."""
+
+    async def refuse(peer, number, opened):
+        failure = messages.AnswerFailed(
+            opened.call_id, "call.overloaded", "", messages.Outcome.NOT_RUN
+        )
+        await peer.send(number, failure)
+
+    async def end(peer, _number, _opened):
+        await peer.send(0, messages.LinkEnd(0))
+
+    await expect_unknown(refuse, request_body)
+    await expect_unknown(end, request_body)
+
+
+async def test_an_answer_that_was_given_up_is_never_an_empty_one():
+    """Guards against 200 without a body in place of a failure."""
+    holders = []
+
+    class Memory(receivememory.ReceiveMemory):
+        def update(self, holder, size):
+            """Gives up each message once it has arrived."""
+            super().update(holder, size)
+            holders.append(holder)
+
+    async def pieces():
+        yield PIECE
+        holders[0].give_up("too large")
+
+    with pytest.raises(exchange.CallFailed) as caught:
+        await answerparts.join(pieces(), Memory(MEMORY_BYTES))
+    assert caught.value.message == "too large"
+
+
+async def test_an_answer_that_a_peer_does_not_take_ends_at_the_deadline():
+    """Guards against answers that are held for a peer for ever."""
+
+    async def run(_request, respond):
+        answer = messages.AnswerOpen("c1", 200, body=b"x" * 2_000_000)
+        await respond(exchange.Response(answer._replace(last=True), None))
+
+    class Stream:
+        async def send(self, _message):
+            """Sends at once."""
+
+        async def send_data(self, _type, _body, _last):
+            """Waits for credit that never comes."""
+            await anyio.sleep_forever()
+
+        def on_interrupt(self, _handler):
+            """Ignores the handler."""
+
+    opened = peers.request(timeout_s=0.2).open
+    with anyio.fail_after(2):
+        await forward.serve(Stream(), opened, run)
