Send 100 Continue for each request

Two expecting requests whose bytes overlap in one piece got one (review). Cause: the mark of the first was kept if its end and the head of the next came together. It now ends with its request. Measured: test_an_expecting_request_in_one_piece_with_a_body_is_continued failed on both loops before.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -260,6 +260,7 @@
         requests = self._reader.requests
         while requests and not self._is_ending and self._may_start(requests[0]):
             running = _RunningRequest(requests.popleft())
+            self._has_sent_continue = False
             self._running.append(running)
             self._tasks.start(self._handle(running))
         self._throttle_reading()
--- a/tests/test_expect_continue.py
+++ b/tests/test_expect_continue.py
@@ -79,3 +79,16 @@
         await stream.send(b"abc")
         assert b"200 OK" in await receive_until(stream, b"xxxx")
         await stream.aclose()
+
+
+async def test_an_expecting_request_in_one_piece_with_a_body_is_continued():
+    """Guards against one 100 Continue that counts for two requests."""
+    async with servers.serving(echo) as (_server, port):
+        stream = await anyio.connect_tcp("127.0.0.1", port)
+        await stream.send(EXPECTING)
+        await receive_until(stream, CONTINUE)
+        await stream.send(b"abc" + EXPECTING)
+        assert b"POST 3" in await receive_until(stream, CONTINUE)
+        await stream.send(b"abc")
+        await receive_until(stream, b"POST 3")
+        await stream.aclose()
