--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -217,3 +217,18 @@
             await anyio.sleep(SETTLE_S)
             assert machine.is_running, machine.log_text()
         await assert_serves(fleet, machine)
+
+
+async def test_a_stopped_daemon_ends_without_the_cleanup_of_the_interpreter(
+    tmp_path,
+):
+    """Guards against an end that outlasts the grace on a busy machine."""
+    async with platformfleet.running() as fleet:
+        fleet.publish(PATHS, SERVICES)
+        machine = await fleet.add("a", SERVICES[0])
+        machine.libraries.insert(0, tmp_path)
+        module = tmp_path / "sitecustomize.py"
+        module.write_text("import atexit, time; atexit.register(time.sleep, 9)")
+        fleet.start("a")
+        await fleet.wait_ready("a")
+        assert await machine.stop(5.0) == 0, machine.log_text()
--- a/tools/platformfleet.py
+++ b/tools/platformfleet.py
@@ -59,6 +59,7 @@
         host: Loopback address of the machine.
         ports: Ports of the daemon by purpose.
         settings: Settings of the daemon by section and key.
+        libraries: Folders in which the daemon finds its modules.
         upstream: Stand-in of the upstream.
         process: The newest daemon process; None before the first start.
         state: State that the upstream announces.
@@ -82,6 +83,7 @@
         purposes = ("callers", "mesh", "operators", "ready", "control")
         self.ports = {purpose: free_port(host) for purpose in purposes}
         self.settings: dict[str, dict[str, Any]] = {}
+        self.libraries = [LIBRARIES]
         self.upstream = appworker.AppWorker()
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0
@@ -131,7 +133,7 @@
             for name in KEPT_VARIABLES
             if name in os.environ
         }
-        environment["PYTHONPATH"] = str(LIBRARIES)
+        environment["PYTHONPATH"] = os.pathsep.join(map(str, self.libraries))
         environment["RATTANGAUGE_SETTINGS"] = str(self.settings_path)
         with self.log_path.open("ab") as log:
             outputs = {"stdin": subprocess.DEVNULL, "stdout": log}
