--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -4,10 +4,12 @@
 import pytest
 
 from rattangauge import receivememory
+from rattangauge import util
 from rattangauge.calls import exchange
 from rattangauge.generated import messages
 from rattangauge.net import answerparts
 from rattangauge.net import forward
+from rattangauge.net import meshserver
 from standins import appworker
 from standins import configurations
 from tests import meshes
@@ -55,6 +57,31 @@
     assert answer_body == b"x" * size
 
 
+@pytest.mark.parametrize("size", [100, 1_048_500, 3_000_000])
+async def test_an_answer_of_any_size_is_joined(size):
+    """Guards against an answer that is refused for its size."""
+
+    async def run(request, respond):
+        answer = messages.AnswerOpen(request.open.call_id, 200, last=True)
+        await respond(
+            exchange.Response(answer._replace(body=b"x" * size), None)
+        )
+
+    async def handle(stream, message):
+        await forward.serve(stream, message, run)
+
+    listener = util.listen("127.0.0.1")
+    address = "{}:{}".format(*listener.getsockname())
+    async with peers.pool() as links, anyio.create_task_group() as tasks:
+        tasks.start_soon(meshserver.serve_socket, listener, handle, 1.0)
+        with anyio.fail_after(5):
+            answer = await forward.forward_buffered(
+                links, address, peers.request(), peers.MEMORY
+            )
+        tasks.cancel_scope.cancel()
+    assert answer.body == b"x" * size
+
+
 @pytest.mark.parametrize("request_body", [b"", b"y" * 50_000])
 async def test_an_answer_in_parts_without_end_is_given_up(request_body):
     """Guards against a daemon that fills the memory of another one."""
