--- a/rattangauge/node.py
+++ b/rattangauge/node.py
@@ -16,7 +16,7 @@
 from rattangauge.net import config_distribution
 from rattangauge.net import connection_pool
 from rattangauge.net import drain as drain_module
-from rattangauge.net import forward
+from rattangauge.net import forwardedcall
 from rattangauge.net import gossip as gossip_module
 from rattangauge.net import head_watcher
 from rattangauge.net import http_server
@@ -189,7 +189,9 @@
     ) -> None:
         if isinstance(message, messages.CallOpen):
             async with self._drain.hold():
-                await forward.serve(stream, message, self._idempotency.run_here)
+                await forwardedcall.serve(
+                    stream, message, self._idempotency.run_here
+                )
         elif isinstance(message, messages.JoinRequest):
             await self._join.answer(stream, message)
         elif isinstance(message, messages.Probe):
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -25,7 +25,7 @@
 from rattangauge.membership import ownmember
 from rattangauge.membership import peers as peers_module
 from rattangauge.net import connection_pool
-from rattangauge.net import forward
+from rattangauge.net import forwardedcall
 from rattangauge.net import listeners as listeners_module
 from rattangauge.net import meshserver
 from rattangauge.sidecar import configsync
@@ -285,7 +285,7 @@
     ) -> None:
         """Handles the first message of a stream of another daemon."""
         if isinstance(message, messages.CallOpen):
-            await forward.serve(stream, message, self._local_upstream.run)
+            await forwardedcall.serve(stream, message, self._local_upstream.run)
         elif isinstance(message, messages.PeerNews):
             await self._peer_exchange.handle_report(stream, message)
         elif isinstance(message, messages.EditionRequest):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -12,6 +12,7 @@
 from rattangauge.generated import messages
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
+from rattangauge.net import forwardedcall
 from rattangauge.net import streams
 from tests import peers
 
@@ -262,7 +263,7 @@
             received.append("whole")
 
     async def serve_call(call_stream, message):
-        await forward.serve(call_stream, message, handler)
+        await forwardedcall.serve(call_stream, message, handler)
 
     async with peers.serving(serve_call) as port:
         async with await anyio.connect_tcp("127.0.0.1", port) as client:
@@ -327,5 +328,5 @@
 
     opened = peers.request().open._replace(last=False)
     with pytest.raises(errors.CodedError) as caught, anyio.fail_after(1):
-        await forward.serve(LostStream(), opened, handler)
+        await forwardedcall.serve(LostStream(), opened, handler)
     assert caught.value.code == errorcodes.LINK_CLOSED
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -9,6 +9,7 @@
 from rattangauge.generated import messages
 from rattangauge.net import answerparts
 from rattangauge.net import forward
+from rattangauge.net import forwardedcall
 from rattangauge.net import meshserver
 from standins import appworker
 from standins import configurations
@@ -68,7 +69,7 @@
         )
 
     async def handle(stream, message):
-        await forward.serve(stream, message, run)
+        await forwardedcall.serve(stream, message, run)
 
     listener = util.listen("127.0.0.1")
     address = "{}:{}".format(*listener.getsockname())
@@ -228,4 +229,4 @@
 
     opened = peers.request(timeout_s=0.2).open
     with anyio.fail_after(2):
-        await forward.serve(Stream(), opened, run)
+        await forwardedcall.serve(Stream(), opened, run)
--- a/tests/test_paused_daemons.py
+++ b/tests/test_paused_daemons.py
@@ -7,6 +7,7 @@
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.net import forward
+from rattangauge.net import forwardedcall
 from tests import peers
 
 pytestmark = pytest.mark.anyio
@@ -125,7 +126,7 @@
     ended = []
 
     async def handle(stream, message):
-        await forward.serve(stream, message, run)
+        await forwardedcall.serve(stream, message, run)
 
     async def run(request, respond):
         try:
