Cut the unread responses of callers that read nothing first

Cause: since all that a connection holds counts, answers of the same size rank alike, whether or not their callers read. Change: connections of which nothing was read for the longest time are cut first; those that hold little come last.

--- a/rattangauge/http/callerconnection.py
+++ b/rattangauge/http/callerconnection.py
@@ -68,6 +68,10 @@
         self._written_bytes = 0
         self._is_ending = False
         self._opened_at = time.monotonic()
+        # Bytes of responses that were left at the last look, and the time at
+        # which they were others.
+        self._seen_unsent_bytes = 0
+        self._progress_at = self._opened_at
         self._has_received = False
         # Whether it was closed while no request was expected.
         self._was_idle = False
@@ -123,6 +127,21 @@
             if running.response is not None
         )
 
+    @property
+    def progress_at(self) -> float:
+        """Time at which the caller last read, by ``record_progress``."""
+        return self._progress_at
+
+    def record_progress(self, now: float) -> None:
+        """Looks whether bytes were written or read since the last look.
+
+        Args:
+            now: Time on the clock of ``time.monotonic``, in seconds.
+        """
+        if self.unsent_bytes != self._seen_unsent_bytes:
+            self._seen_unsent_bytes = self.unsent_bytes
+            self._progress_at = now
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts reading from a caller."""
         limits = self._server.limits
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -170,17 +170,22 @@
         """Cuts connections if callers leave too many bytes unread.
 
         The responses that callers have not read may take as much memory as
-        messages that have been received in part; beyond it, the connections
-        with most of them are cut.
+        messages that have been received in part; beyond it, connections are
+        cut. Those come first of which nothing was read for the longest time.
         """
+        now = time.monotonic()
         unread = {c: c.unread_bytes for c in self._connections}
+        for connection in unread:
+            connection.record_progress(now)
         limit = self._memory.limit_bytes
         excess = sum(unread.values()) - limit
         while excess > 0:
-            largest = max(unread, key=unread.__getitem__)
-            excess -= unread.pop(largest)
-            self.discard(largest)
-            largest.abort(f"responses that nobody reads exceed {limit} bytes")
+            connection = min(unread, key=lambda c: _rank(c, unread[c]))
+            excess -= unread.pop(connection)
+            self.discard(connection)
+            connection.abort(
+                f"responses that nobody reads exceed {limit} bytes"
+            )
 
     def add(self, connection: callerconnection.Connection) -> None:
         """Adds a new connection."""
@@ -200,6 +205,17 @@
         self._lingering.pop(connection, None)
 
 
+def _rank(
+    connection: callerconnection.Connection, unread_bytes: int
+) -> tuple[bool, float, int]:
+    """Ranks connections by what their callers leave unread.
+
+    Those with few bytes come last, as their end frees little.
+    """
+    is_small = unread_bytes <= callerconnection.SEND_BUFFER_BYTES
+    return is_small, connection.progress_at, -unread_bytes
+
+
 def _has_unread(connections: list[callerconnection.Connection]) -> bool:
     """Tells whether bytes have arrived that the event loop has not read yet."""
     poll = select.poll()
