Ask the kernel for unread bytes in one place

The client and the end of the server each polled their sockets; the last reading of the change found the twin. A closed descriptor counts as without bytes in both. Measured: formatter and linter clean; test_http_client, test_server_end, test_unread_responses and test_mutations pass. The whole suite was not run on it.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -9,7 +9,6 @@
 import asyncio
 import math
 import os
-import select
 import socket
 import time
 from typing import Any
@@ -80,9 +79,8 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes, or the end, have arrived and were not read yet."""
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
-        return bool(poll.poll(0))
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        return util.has_unread([descriptor])
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
--- a/rattangauge/http/server.py
+++ b/rattangauge/http/server.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import select
 import socket
 import time
 
@@ -15,6 +14,7 @@
 import loguru
 
 from rattangauge import receivememory
+from rattangauge import util
 from rattangauge.http import callerconnection
 from rattangauge.http import limits as limits_module
 from rattangauge.http import messages
@@ -162,8 +162,8 @@
         """Tells whether no request is expected or without its answer."""
         if any(c.is_busy or c.is_new for c in self._connections):
             return False
-        return not _has_unread(
-            [c for c in self._connections if not c.is_ending]
+        return not util.has_unread(
+            c.descriptor for c in self._connections if not c.is_ending
         )
 
     def bound_unread(self) -> None:
@@ -214,12 +214,3 @@
     """
     is_small = unread_bytes <= callerconnection.SEND_BUFFER_BYTES
     return is_small, connection.progress_at, -unread_bytes
-
-
-def _has_unread(connections: list[callerconnection.Connection]) -> bool:
-    """Tells whether bytes have arrived that the event loop has not read yet."""
-    poll = select.poll()
-    for connection in connections:
-        if connection.descriptor >= 0:
-            poll.register(connection.descriptor, select.POLLIN)
-    return bool(poll.poll(0))
--- a/rattangauge/util.py
+++ b/rattangauge/util.py
@@ -1,7 +1,9 @@
 """Addresses, sockets, clocks and ASGI replies for several modules."""
 
+from collections.abc import Iterable
 import hashlib
 import ipaddress
+import select
 import socket
 import time
 from typing import Any
@@ -120,6 +122,19 @@
         raise _address_error(error, host, port) from error
 
 
+def has_unread(descriptors: Iterable[int]) -> bool:
+    """Tells whether bytes, or an end, have arrived that were not read yet.
+
+    Args:
+        descriptors: File descriptors of sockets; negative ones are closed.
+    """
+    poll = select.poll()
+    for descriptor in descriptors:
+        if descriptor >= 0:
+            poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def now_ms() -> int:
     """Returns the wall-clock time in milliseconds since 1970."""
     return time.time_ns() // 1_000_000
