--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -6,9 +6,7 @@
 from rattangauge import decisionlog
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
-from rattangauge.calls import call_queue
 from rattangauge.calls import exchange
-from rattangauge.calls import placement
 from rattangauge.calls import retry
 from rattangauge.calls import retry_after
 from rattangauge.calls import shutdown as shutdown_module
@@ -26,15 +24,12 @@
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import incomingcall
 from rattangauge.sidecar import localupstream
+from rattangauge.sidecar import rejections
 from rattangauge.sidecar import responses
+from rattangauge.sidecar import upstreamchoice
 
 # Number of daemons that may refuse a call before the caller gets a refusal.
 MAX_REFUSALS = 2
-# A call is refused without asking the instance if a load report that is younger
-# than this shows a wait above the longest useful wait of the call times the
-# margin. The margin allows for calls that end after the report.
-MAX_DECISIVE_LOAD_AGE_S = 0.2
-REFUSAL_MARGIN = 1.5
 # Retry budget of this daemon: retries for each call, and the burst on top. As
 # each daemon keeps to its budget, retries of all daemons stay a small share of
 # all calls.
@@ -43,12 +38,6 @@
 # No retry is made if less time than this is left to the deadline: it would not
 # end in time.
 MIN_RETRY_S = 0.02
-# Retry-After for callers while the daemon has no configuration or shuts down.
-NOT_READY_RETRY_AFTER_S = 0.5
-# Weight of a new measurement in the moving average of a route's answer size.
-ANSWER_SIZE_WEIGHT = 0.1
-# Estimated size of the head of a request or an answer.
-HEAD_BYTES = 300
 # Lowest HTTP status that counts as a failure of the upstream.
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -83,7 +72,9 @@
         self._shutdown: shutdown_module.Shutdown | None = None
         self._retry_budget = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
         self._random = random_module.Random()
-        self._mean_answer_bytes: dict[str, float] = {}
+        self._upstreams = upstreamchoice.UpstreamChoice(
+            settings, links, peers, self._call_log, self._random
+        )
         self._calls = incomingcall.CallMaker(
             header_names, peers.own, local_upstream
         )
@@ -116,33 +107,66 @@
     async def handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
-        """Returns the response to a request of a caller."""
+        """Returns the response to a request of a caller.
+
+        The request passes the steps of ``_admit``, each of which may reject it,
+        before it is sent to instances.
+        """
+        try:
+            call = self._admit(request)
+        except rejections.RejectedError as rejection:
+            return self._reject(request, rejection)
+        self._call_log.record_start(
+            call.request_id, call.request.open, self._remaining_s(call)
+        )
+        return await self._run_with_retries(call)
+
+    def _admit(
+        self, request: http_messages.Request
+    ) -> incomingcall.IncomingCall:
+        """Makes a call from a request that may run.
+
+        Raises:
+            rejections.RejectedError: The request must not run.
+        """
+        target = self._find_target(request)
+        call = self._calls.make(request, target, self.version)
+        if call is None:
+            code = errorcodes.CALL_BAD_HEADER
+            raise rejections.RejectedError(
+                400, code, "the deadline is not a number"
+            )
+        if not self._may_start(call):
+            raise rejections.RejectedError(
+                503,
+                errorcodes.CALL_NOT_READY,
+                "the daemon stops before the deadline",
+                rejections.NOT_READY_RETRY_AFTER_S,
+            )
+        return call
+
+    def _find_target(self, request: http_messages.Request) -> routes.Target:
+        """Returns the route of a request with its policy.
+
+        Raises:
+            rejections.RejectedError: No route matches, or no configuration is in
+                force.
+        """
         if self._route_table is None:
-            text = "no configuration is in force yet"
-            failure = exchange.not_run(errorcodes.CALL_NOT_READY, text)
-            return self._reject(request, failure, 503, NOT_READY_RETRY_AFTER_S)
+            raise rejections.RejectedError(
+                503,
+                errorcodes.CALL_NOT_READY,
+                "no configuration is in force yet",
+                rejections.NOT_READY_RETRY_AFTER_S,
+            )
         path = request.target.partition("?")[0]
         host = request.header(b"host").decode("latin-1").lower()
         host = host.partition(":")[0]
         target = routes.match(self._route_table, request.method, path, host)
         if target is None:
             text = f"no route matches {host} {path}"
-            failure = exchange.not_run(errorcodes.CALL_NO_ROUTE, text)
-            return self._reject(request, failure, 404)
-        call = self._calls.make(request, target, self.version)
-        if call is None:
-            text = "the deadline is not a number"
-            failure = exchange.not_run(errorcodes.CALL_BAD_HEADER, text)
-            return self._reject(request, failure, 400)
-        if not self._may_start(call):
-            text = "the daemon stops before the deadline"
-            failure = exchange.not_run(errorcodes.CALL_NOT_READY, text)
-            return self._reject(request, failure, 503, NOT_READY_RETRY_AFTER_S)
-        call_open = call.request.open
-        self._call_log.record_start(
-            call.request_id, call_open, self._remaining_s(call)
-        )
-        return await self._run_with_retries(call)
+            raise rejections.RejectedError(404, errorcodes.CALL_NO_ROUTE, text)
+        return target
 
     def _may_start(self, call: incomingcall.IncomingCall) -> bool:
         """Tells whether a call may start in view of a shutdown."""
@@ -155,9 +179,7 @@
     def _reject(
         self,
         request: http_messages.Request,
-        failure: exchange.CallFailed,
-        status: int,
-        retry_after_s: float = 0.0,
+        rejection: rejections.RejectedError,
     ) -> http_messages.Response:
         """Logs a request that is not sent to any instance.
 
@@ -167,12 +189,14 @@
         self._call_log.record_failure(
             request.header(self._header_names.request_id).decode("latin-1"),
             messages.CallOpen(version=self.version),
-            failure,
-            status,
+            rejection.failure,
+            rejection.status,
             request.received_at,
-            retry_after_s=retry_after_s,
+            retry_after_s=rejection.retry_after_s,
+        )
+        return responses.error(
+            rejection.status, rejection.failure.message, rejection.retry_after_s
         )
-        return responses.error(status, failure.message, retry_after_s)
 
     async def _run_with_retries(
         self, call: incomingcall.IncomingCall
@@ -186,8 +210,10 @@
         """
         self._retry_budget.add_call()
         progress = callprogress.CallProgress()
-        while (peer := self._choose_instance(call, progress.tried)) is not None:
-            if self._is_refusal_expected(call, peer):
+        while (
+            peer := self._upstreams.choose(call, progress.tried)
+        ) is not None:
+            if self._upstreams.is_refusal_expected(call, peer):
                 text = "all instances report too long a wait"
                 code = errorcodes.CALL_OVERLOADED
                 progress.record_failure(exchange.not_run(code, text))
@@ -214,39 +240,6 @@
             return responses.from_answer(progress.answer)
         return self._failure_response(call, progress)
 
-    def _is_refusal_expected(
-        self, call: incomingcall.IncomingCall, peer: peers_module.Peer
-    ) -> bool:
-        """Tells whether an instance is expected to refuse a call.
-
-        Such a call is not sent, which saves the transfer during a load peak,
-        when all instances refuse calls. Only a recent load report of another
-        instance counts.
-        """
-        now = time.monotonic()
-        if (
-            peer is self._peers.own
-            or peer.load_age_s(now) > MAX_DECISIVE_LOAD_AGE_S
-        ):
-            return False
-        call_open = call.request.open
-        candidate = peer.candidate(
-            self._settings.instance.zone, now, call_open.route
-        )
-        waiter = call_queue.QueuedCall(
-            0,
-            call_open.route,
-            call_open.priority,
-            call_open.returned,
-            call_open.inner,
-            call.target_at,
-            call.request.deadline,
-        )
-        longest_wait_s = call_queue.max_wait_s(waiter, candidate.hold_s, now)
-        return placement.wait_s(candidate) > REFUSAL_MARGIN * max(
-            0.0, longest_wait_s
-        )
-
     def _may_try_another(
         self,
         call: incomingcall.IncomingCall,
@@ -281,65 +274,6 @@
         progress.retries += 1
         return self._retry_budget.take()
 
-    def _choose_instance(
-        self, call: incomingcall.IncomingCall, tried: set[str]
-    ) -> peers_module.Peer | None:
-        """Chooses the instance that a call is sent to next.
-
-        Returns:
-            The instance; None if no instance of the service is left to try.
-        """
-        call_open = call.request.open
-        now = time.monotonic()
-        size = HEAD_BYTES + len(call_open.body)
-        size += int(self._mean_answer_bytes.get(call_open.route, HEAD_BYTES))
-        demand = placement.CallRequirements(size, call.target_at - now)
-        local, remote = self._untried_peers(call_open.service, tried)
-        candidates = [
-            self._candidate(peer, now, call_open.route) for peer in local
-        ]
-        chosen = placement.choose_local(candidates, demand, self._random)
-        if chosen is None:
-            candidates += [
-                self._candidate(peer, now, call_open.route)
-                for peer in placement.sample(remote, self._random)
-            ]
-            chosen = placement.choose(candidates, demand, self._random)
-        peer = self._peers.get(chosen.address) if chosen else None
-        if chosen is not None and peer is not None:
-            self._call_log.record_placement(
-                call.request_id, chosen, len(candidates), peer.load_age_s(now)
-            )
-        return peer
-
-    def _untried_peers(
-        self, service: str, tried: set[str]
-    ) -> tuple[list[peers_module.Peer], list[peers_module.Peer]]:
-        """Returns the instances of a service that a call may still be sent to.
-
-        Returns:
-            Those of the own zone, and those of the other zones.
-        """
-        zone = self._settings.instance.zone
-        local: list[peers_module.Peer] = []
-        remote: list[peers_module.Peer] = []
-        for peer in self._peers.serving(service):
-            if peer.member.mesh not in tried:
-                (local if peer.member.zone == zone else remote).append(peer)
-        return local, remote
-
-    def _candidate(
-        self, peer: peers_module.Peer, now: float, route: str
-    ) -> placement.Candidate:
-        """Returns a peer as a candidate for a call of a route.
-
-        The candidate is unhealthy if its connection has an unanswered ping.
-        """
-        candidate = peer.candidate(self._settings.instance.zone, now, route)
-        if self._links.is_suspect(peer.member.mesh):
-            return candidate._replace(should_avoid=True)
-        return candidate
-
     async def _attempt(
         self, call: incomingcall.IncomingCall, peer: peers_module.Peer
     ) -> messages.AnswerOpen:
@@ -364,7 +298,9 @@
         now = time.monotonic()
         peer.record_answer(answer.status >= MIN_SERVER_ERROR_STATUS, now)
         peer.update_load(answer.load, now, call.request.open.route)
-        self._update_answer_size(call.request.open.route, len(answer.body))
+        self._upstreams.record_answer_size(
+            call.request.open.route, len(answer.body)
+        )
         return answer
 
     def _remaining_s(self, call: incomingcall.IncomingCall) -> float:
@@ -407,13 +343,6 @@
         elif failure.code != errorcodes.CALL_DEADLINE:
             peer.record_answer(True, now)
 
-    def _update_answer_size(self, route: str, size: int) -> None:
-        """Adds a measurement to the moving average of a route, in bytes."""
-        before = self._mean_answer_bytes.get(route, float(size))
-        self._mean_answer_bytes[route] = before + ANSWER_SIZE_WEIGHT * (
-            size - before
-        )
-
     def _failure_response(
         self,
         call: incomingcall.IncomingCall,
--- a/tests/test_call_outcomes.py
+++ b/tests/test_call_outcomes.py
@@ -89,9 +89,10 @@
         log = decisionlog.DecisionLog("own", "zone-1", len)
         super().__init__(settings, NAMES, None, peers, None, None, log)
         self._cases = list(cases)
+        self._upstreams.choose = self._choose_untried
         self.runs = 0
 
-    def _choose_instance(self, _call, tried):
+    def _choose_untried(self, _call, tried):
         untried = [
             p for p in self._peers.others() if p.member.mesh not in tried
         ]
