--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -149,8 +149,8 @@
         """Returns the route of a request with its policy.
 
         Raises:
-            rejections.RejectedError: No route matches, or no configuration is in
-                force.
+            rejections.RejectedError: No route matches, or no configuration is
+                in force.
         """
         if self._route_table is None:
             raise rejections.RejectedError(
