--- a/rattangauge/calls/placement.py
+++ b/rattangauge/calls/placement.py
@@ -66,6 +66,8 @@
             seconds; 0 if unknown.
         mean_hold_s: Mean time for which the calls there hold a slot, in
             seconds; 0 if it is the same as ``hold_s``.
+        transfer_s: Time that its network link needs until it has sent the
+            answer, in seconds.
     """
 
     address: str
@@ -75,6 +77,7 @@
     slots: int
     hold_s: float
     mean_hold_s: float = 0.0
+    transfer_s: float = 0.0
 
 
 def wait_s(candidate: Candidate) -> float:
@@ -85,8 +88,12 @@
 
 
 def expected_latency_s(candidate: Candidate) -> float:
-    """Returns the expected time of a call's wait and service, in seconds."""
-    return wait_s(candidate) + candidate.hold_s
+    """Returns the expected time of a call's wait, service and transfer.
+
+    Returns:
+        The time in seconds.
+    """
+    return wait_s(candidate) + candidate.hold_s + candidate.transfer_s
 
 
 def cost_s(candidate: Candidate, size: int) -> float:
@@ -103,6 +110,7 @@
     utilization = min(1.0, candidate.outstanding / max(1, candidate.slots))
     cost = WAIT_WEIGHT * wait_s(candidate)
     cost += hold_s * (1.0 + BUSY_SLOWDOWN_SHARE * utilization)
+    cost += candidate.transfer_s
     if not candidate.is_local:
         cost += ZONE_COST_S + ZONE_COST_S_PER_BYTE * size
     return cost
--- /dev/null
+++ b/rattangauge/calls/transfer_schedule.py
@@ -0,0 +1,80 @@
+"""Divides a slow network link among large transfers.
+
+It is made for large answers that come together on a link that takes a tenth of
+a second or more for each. Sent at once, they would delay all short messages on
+the link by the time that they take. So they are handed to the network in
+pieces, no faster than the link carries them, and short messages wait for one
+piece at most.
+
+The transfer with the fewest bytes left goes first, which leaves the fewest
+callers waiting.
+"""
+
+import math
+
+# Bytes that are handed to the network at a time.
+PIECE_BYTES = 8192
+# Share of the link that large transfers may take; short messages need the rest.
+LINK_SHARE = 0.9
+# Time for which the network may hold bytes that it has not sent, in seconds.
+MAX_AHEAD_S = 0.005
+
+
+class TransferSchedule:
+    """Order of the pieces of large transfers.
+
+    Times are in seconds, on the clock of the caller of the methods.
+    """
+
+    def __init__(self, link_bytes_per_s: float) -> None:
+        """Creates a schedule without requests.
+
+        Args:
+            link_bytes_per_s: Rate of the link; infinite if it is unknown.
+        """
+        self._bytes_per_s = link_bytes_per_s * LINK_SHARE
+        self._left_bytes: dict[int, int] = {}
+        # Time at which the link has sent all that it was given.
+        self._free_at = -math.inf
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the transfers that wait for a turn."""
+        return sum(self._left_bytes.values())
+
+    def backlog_s(self, now: float) -> float:
+        """Returns the time that the link needs for all transfers."""
+        waiting_s = self.waiting_bytes / self._bytes_per_s
+        return max(0.0, self._free_at - now) + waiting_s
+
+    def request(self, number: int, left_bytes: int) -> None:
+        """Requests a turn for the next piece of a transfer.
+
+        Args:
+            number: Identifies the transfer.
+            left_bytes: Bytes of it that were not handed to the network.
+        """
+        self._left_bytes[number] = left_bytes
+
+    def withdraw(self, number: int) -> None:
+        """Withdraws the request of a transfer, if there is one."""
+        self._left_bytes.pop(number, None)
+
+    def delay_s(self, now: float) -> float:
+        """Returns the time until the link takes the next piece."""
+        return max(0.0, self._free_at - MAX_AHEAD_S - now)
+
+    def take(self, now: float) -> tuple[int, int] | None:
+        """Takes the next piece, if the link has room for it.
+
+        Returns:
+            Number of the transfer and size of the piece in bytes; None if the
+            link is busy or nothing waits.
+        """
+        if not self._left_bytes or self.delay_s(now) > 0.0:
+            return None
+        number = min(self._left_bytes, key=self._left_bytes.__getitem__)
+        size = min(PIECE_BYTES, self._left_bytes.pop(number))
+        begin = max(now, self._free_at)
+        self._free_at = begin + size / self._bytes_per_s
+        return number, size
--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -36,6 +36,8 @@
 # of call, and the number of kinds that are kept for each peer.
 HOLD_RATIO_WEIGHT = 0.3
 MAX_CALL_KINDS = 256
+# Bytes a second of a link of 1 kbit/s.
+BYTES_PER_S_PER_KBPS = 125
 # Services whose serving daemons are kept between two changes.
 MAX_SERVICES = 256
 
@@ -225,6 +227,22 @@
         """Returns the age of the newest load report, in seconds."""
         return now - self._load_received_at
 
+    def transfer_s(self, size: int, now: float) -> float:
+        """Returns the time until its network link has sent an answer.
+
+        Args:
+            size: Size of the answer, in bytes.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The time in seconds; 0 if the rate of the link is unknown.
+        """
+        if not self.member.link_kbps:
+            return 0.0
+        send_s = size / (self.member.link_kbps * BYTES_PER_S_PER_KBPS)
+        backlog_s = self._load.link_us / 1e6
+        return send_s + max(0.0, backlog_s - self.load_age_s(now))
+
     def candidate(
         self, zone: str, now: float, kind: str = ""
     ) -> placement.Candidate:
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -25,6 +25,7 @@
 from rattangauge.membership import heartbeats
 from rattangauge.sidecar import bodyreceptions
 from rattangauge.sidecar import headernames
+from rattangauge.sidecar import linkpacer
 from rattangauge.sidecar import receivebudget
 from rattangauge.sidecar import upstreamhttp
 from rattangauge.sidecar import upstreamrate
@@ -56,6 +57,7 @@
         self._receive_budget = receivebudget.ReceiveBudget(
             settings.instance.link_mbps
         )
+        self._link_pacer = linkpacer.LinkPacer(settings.instance.link_mbps)
         self._receptions = bodyreceptions.BodyReceptions(settings.instance)
         self._header_names = header_names
         self._memory = memory
@@ -103,6 +105,7 @@
             limit=self._queue.concurrency,
             service_us=int(hold_s * 1e6),
             state=self.state,
+            link_us=int(self._link_pacer.backlog_s * 1e6),
         )
 
     def _load_for(self, request: exchange.Request) -> messages.Load:
@@ -200,7 +203,7 @@
         self, request: exchange.Request, respond: exchange.Respond
     ) -> None:
         """Runs a call of another daemon on the upstream; see ``execute``."""
-        await respond(exchange.Response(await self.execute(request), None))
+        await respond(self._link_pacer.response(await self.execute(request)))
 
     async def execute(self, request: exchange.Request) -> messages.AnswerOpen:
         """Runs a call on the upstream and returns the complete answer.
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -10,6 +10,7 @@
 from rattangauge.net import connection_pool
 from rattangauge.sidecar import calllog
 from rattangauge.sidecar import incomingcall
+from rattangauge.sidecar import linkpacer
 
 # A call is refused without asking the instance if a load report that is younger
 # than this shows a wait above the longest useful wait of the call times the
@@ -55,8 +56,8 @@
         """
         call_open = call.request.open
         now = time.monotonic()
-        size = HEAD_BYTES + len(call_open.body)
-        size += int(self._mean_answer_bytes.get(call_open.route, HEAD_BYTES))
+        answer_bytes = self._answer_bytes(call_open.route)
+        size = HEAD_BYTES + len(call_open.body) + answer_bytes
         demand = placement.CallRequirements(size, call.target_at - now)
         local, remote = self._untried_peers(call_open.service, tried)
         candidates = [
@@ -116,6 +117,14 @@
             size - before
         )
 
+    def _answer_bytes(self, route: str) -> int:
+        """Returns the expected size of an answer of a route, in bytes."""
+        return int(self._mean_answer_bytes.get(route, HEAD_BYTES))
+
+    def _is_own(self, peer: peers_module.Peer) -> bool:
+        """Tells whether a peer is this daemon, whose answers need no link."""
+        return peer is self._peers.own
+
     def _untried_peers(
         self, service: str, tried: set[str]
     ) -> tuple[list[peers_module.Peer], list[peers_module.Peer]]:
@@ -140,6 +149,12 @@
         The candidate is unhealthy if its connection has an unanswered ping.
         """
         candidate = peer.candidate(self._settings.instance.zone, now, route)
+        answer_bytes = self._answer_bytes(route)
+        if answer_bytes >= linkpacer.LARGE_ANSWER_BYTES and not self._is_own(
+            peer
+        ):
+            transfer_s = peer.transfer_s(answer_bytes, now)
+            candidate = candidate._replace(transfer_s=transfer_s)
         if self._links.is_suspect(peer.member.mesh):
             return candidate._replace(should_avoid=True)
         return candidate
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -44,6 +44,7 @@
   serviceUs @3 :UInt32;  # moving average of the service time of short calls
   state @4 :UpstreamState;
   kindUs @5 :UInt32;  # the same for calls of the answered call's kind; 0 if unknown
+  linkUs @6 :UInt32;  # time that the network link needs for large answers that wait
 }
 
 struct LinkPing { sequence @0 :UInt64; }
--- /dev/null
+++ b/tests/test_linkpacer.py
@@ -0,0 +1,99 @@
+"""Tests of large answers on a slow network link."""
+
+import asyncio
+import time
+
+import pytest
+
+from rattangauge.calls import transfer_schedule
+from rattangauge.generated import messages
+from rattangauge.sidecar import linkpacer
+
+LINK_BYTES_PER_S = 687_500.0
+
+
+@pytest.fixture
+def anyio_backend():
+    """Event loop that the daemons use on the platform."""
+    return "asyncio", {"use_uvloop": True}
+
+
+def _drain(schedule, left, now):
+    """Sends all transfers; returns the time at which each has ended."""
+    ended = {}
+    for number, size in left.items():
+        schedule.request(number, size)
+    while left:
+        now += schedule.delay_s(now)
+        number, size = schedule.take(now)
+        left[number] -= size
+        if left[number]:
+            schedule.request(number, left[number])
+        else:
+            del left[number]
+            ended[number] = now
+    return ended
+
+
+def test_small_transfers_do_not_wait_for_large_ones():
+    """Guards against an answer of 20 kB behind two of 540 kB."""
+    schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
+    ended = _drain(schedule, {1: 540_000, 2: 540_000, 3: 20_000}, 0.0)
+    assert ended[3] < 0.05
+    assert max(ended.values()) < 1_100_000 / LINK_BYTES_PER_S / 0.9
+
+
+def test_the_link_is_never_given_more_than_a_piece_ahead():
+    """Guards against short messages that wait for a whole large answer."""
+    schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
+    given, now, left = 0, 0.0, 300_000
+    while left:
+        schedule.request(1, left)
+        now += schedule.delay_s(now)
+        _number, size = schedule.take(now)
+        given, left = given + size, left - size
+        ahead_s = given / LINK_BYTES_PER_S - now
+        assert ahead_s < 0.02
+
+
+def test_the_backlog_counts_what_waits():
+    """Guards against daemons that send more answers to a full link."""
+    schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
+    assert schedule.backlog_s(0.0) == 0.0
+    schedule.request(1, 100_000)
+    assert schedule.backlog_s(0.0) == pytest.approx(0.16, abs=0.01)
+    schedule.withdraw(1)
+    assert schedule.backlog_s(0.0) == 0.0
+
+
+async def test_pieces_are_the_body_and_take_the_time_of_the_link():
+    """Guards against lost pieces and against a burst on the link."""
+    pacer = linkpacer.LinkPacer(8.0)
+    body = bytes(range(256)) * 400
+    started_at = time.monotonic()
+    received = b"".join([piece async for piece in pacer.pieces(body)])
+    assert received == body
+    assert time.monotonic() - started_at > 0.08
+
+
+async def test_a_cancelled_transfer_frees_the_link():
+    """Guards against a caller that left and still holds a share."""
+    pacer = linkpacer.LinkPacer(1.0)
+
+    async def send(body):
+        async for _piece in pacer.pieces(body):
+            pass
+
+    first = asyncio.create_task(send(bytes(500_000)))
+    await asyncio.sleep(0.01)
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+    assert pacer.backlog_s < 0.2
+
+
+async def test_short_answers_stay_one_message():
+    """Guards against costs of short answers, and on unknown links."""
+    pacer = linkpacer.LinkPacer(0.0)
+    answer = messages.AnswerOpen(body=b"short", last=True)
+    assert pacer.response(answer) == (answer, None)
+    assert [p async for p in pacer.pieces(bytes(20_000))]
