Tell tenants by the keys of their callers

Change: kind tenant in the configuration, routes that need no key, one look-up a request; 401 for an unknown key, 503 for a call of an upstream whose request is not known here; the tenant's name replaces the key, and its priority that of the route.

--- a/rattangauge/config/check.py
+++ b/rattangauge/config/check.py
@@ -6,6 +6,7 @@
 from rattangauge import errors
 from rattangauge import fields
 from rattangauge.config import objects as objects_module
+from rattangauge.config import tenants
 from rattangauge.generated import errorcodes
 from rattangauge.generated import objects as generated
 
@@ -120,6 +121,14 @@
         yield errors.Finding(place, "weights", "all weights are 0", code)
 
 
+def _check_tenants(
+    objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
+) -> Iterator[errors.Finding]:
+    for name, finding in tenants.check_keys(objects):
+        place = _format_place(places, "tenant", name)
+        yield finding._replace(place=place)
+
+
 def _check_sizes(
     objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
 ) -> Iterator[errors.Finding]:
@@ -145,10 +154,12 @@
         objects: The set.
 
     Returns:
-        A finding for each reference to an object that does not exist, and for
-        each route whose services and weights do not belong together.
+        A finding for each reference to an object that does not exist, for each
+        route whose services and weights do not belong together, and for each
+        key of several tenants.
     """
     findings = list(_check_references(objects, {}))
+    findings += _check_tenants(objects, {})
     for name, route in objects["route"].items():
         findings += _check_split(route, f"route {name}")
     return findings
@@ -171,5 +182,6 @@
     return [
         *_check_references(objects, known),
         *_check_routes(objects, known),
+        *_check_tenants(objects, known),
         *_check_sizes(objects, known),
     ]
--- a/rattangauge/config/routes.py
+++ b/rattangauge/config/routes.py
@@ -4,6 +4,7 @@
 
 from rattangauge.config import edition as edition_module
 from rattangauge.config import objects as objects_module
+from rattangauge.config import tenants as tenants_module
 from rattangauge.generated import objects as generated
 
 IDEMPOTENT_METHODS = frozenset(
@@ -55,12 +56,14 @@
             that match any host.
         prefix_lengths: Lengths of the prefixes, descending.
         limits: Limits on what callers may send.
+        tenants: Tenants and their keys.
     """
 
     version: int
     by_prefix: dict[tuple[str, str], tuple[Target, ...]]
     prefix_lengths: tuple[int, ...]
     limits: generated.Limits = DEFAULT_LIMITS
+    tenants: tenants_module.TenantTable = tenants_module.NO_TENANTS
 
 
 _PoolsByService = dict[str, tuple[generated.Pool, ...]]
@@ -109,7 +112,10 @@
     distinct = {len(prefix) for _host, prefix in by_prefix}
     prefix_lengths = tuple(sorted(distinct, reverse=True))
     limits = edition.objects["limits"].get(LIMITS_NAME, DEFAULT_LIMITS)
-    return RouteTable(edition.version, by_prefix, prefix_lengths, limits)
+    tenants = tenants_module.compile_tenants(edition.objects)
+    return RouteTable(
+        edition.version, by_prefix, prefix_lengths, limits, tenants
+    )
 
 
 def _ends_at_segment(path: str, length: int) -> bool:
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -14,6 +14,7 @@
 from rattangauge.config import routes
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.generated import objects as generated
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
 from rattangauge.membership import peers as peers_module
@@ -129,8 +130,12 @@
         Raises:
             rejections.RejectedError: The request must not run.
         """
-        target = self._find_target(request)
-        call = self._calls.make(request, target, self.version)
+        table = self._routes_in_force()
+        target = self._find_target(request, table)
+        tenant = self._find_tenant(request, table, target)
+        call = self._calls.make(
+            request, target, table.version, tenant, bool(table.tenants.by_name)
+        )
         if call is None:
             code = errorcodes.CALL_BAD_HEADER
             raise rejections.RejectedError(
@@ -145,12 +150,11 @@
             )
         return call
 
-    def _find_target(self, request: http_messages.Request) -> routes.Target:
-        """Returns the route of a request with its policy.
+    def _routes_in_force(self) -> routes.RouteTable:
+        """Returns the routes of the configuration in force.
 
         Raises:
-            rejections.RejectedError: No route matches, or no configuration is
-                in force.
+            rejections.RejectedError: No configuration is in force.
         """
         if self._route_table is None:
             raise rejections.RejectedError(
@@ -159,15 +163,54 @@
                 "no configuration is in force yet",
                 rejections.NOT_READY_RETRY_AFTER_S,
             )
+        return self._route_table
+
+    def _find_target(
+        self, request: http_messages.Request, table: routes.RouteTable
+    ) -> routes.Target:
+        """Returns the route of a request with its policy.
+
+        Raises:
+            rejections.RejectedError: No route matches.
+        """
         path = request.target.partition("?")[0]
         host = request.header(b"host").decode("latin-1").lower()
         host = host.partition(":")[0]
-        target = routes.match(self._route_table, request.method, path, host)
+        target = routes.match(table, request.method, path, host)
         if target is None:
             text = f"no route matches {host} {path}"
             raise rejections.RejectedError(404, errorcodes.CALL_NO_ROUTE, text)
         return target
 
+    def _find_tenant(
+        self,
+        request: http_messages.Request,
+        table: routes.RouteTable,
+        target: routes.Target,
+    ) -> generated.Tenant | None:
+        """Returns the tenant of a request; None if it needs none.
+
+        Raises:
+            rejections.RejectedError: It has no key of a known tenant.
+        """
+        found = self._calls.identify(
+            request, table.tenants, target.route.exempt
+        )
+        if found.is_accepted:
+            return found.tenant
+        has_key = bool(request.header(self._header_names.authorization))
+        if not has_key and self._calls.may_be_inner(request):
+            # Since its restart, the daemon does not know what the upstream
+            # runs.
+            raise rejections.RejectedError(
+                503,
+                errorcodes.CALL_NOT_READY,
+                "the request of this call does not run here",
+                rejections.NOT_READY_RETRY_AFTER_S,
+            )
+        text = "the request has no key of a tenant"
+        raise rejections.RejectedError(401, errorcodes.CALL_UNKNOWN_KEY, text)
+
     def _may_start(self, call: incomingcall.IncomingCall) -> bool:
         """Tells whether a call may start in view of a shutdown."""
         if self._shutdown is None:
--- a/rattangauge/sidecar/headernames.py
+++ b/rattangauge/sidecar/headernames.py
@@ -18,6 +18,8 @@
         instance: Identity of the upstream that answers a health check.
         named_rate: Calls a second that an upstream in need takes from all
             daemons together, as a decimal number; in each of its responses.
+        authorization: Key of a tenant, after the word Bearer.
+        tenant: Name of the tenant whose key a request has; the daemon sets it.
         is_leaving: Present with the value 1 in each response of an upstream
             that is about to end and must get no new requests.
         parent_id: Function, not a header. While an upstream runs a request, it
@@ -33,5 +35,7 @@
     execution_proof: bytes
     instance: bytes
     named_rate: bytes
+    authorization: bytes
+    tenant: bytes
     is_leaving: bytes
     parent_id: Callable[[bytes], bytes]
--- a/rattangauge/sidecar/incomingcall.py
+++ b/rattangauge/sidecar/incomingcall.py
@@ -5,9 +5,12 @@
 
 from rattangauge.calls import elapsed_time
 from rattangauge.calls import exchange
+from rattangauge.calls import identity
 from rattangauge.calls import traffic_split
 from rattangauge.config import routes
+from rattangauge.config import tenants
 from rattangauge.generated import messages
+from rattangauge.generated import objects as generated
 from rattangauge.http import messages as http_messages
 from rattangauge.membership import peers as peers_module
 from rattangauge.sidecar import headernames
@@ -28,6 +31,7 @@
             ``time.monotonic``, in seconds.
         target_at: Time until which an answer meets the target latency, on the
             same clock.
+        tenant: Tenant of the request; None if it has none.
     """
 
     request_id: str
@@ -35,6 +39,7 @@
     target: routes.Target
     received_at: float
     target_at: float
+    tenant: generated.Tenant | None = None
 
 
 class CallMaker:
@@ -60,11 +65,45 @@
         self._call_numbers = itertools.count(1)
         self._elapsed_time = elapsed_time.ElapsedTimeEstimator()
 
+    def is_inner(self, request: http_messages.Request) -> bool:
+        """Tells whether the local upstream makes a request for another one."""
+        return self._local_upstream.is_running(self._parent_id(request))
+
+    def may_be_inner(self, request: http_messages.Request) -> bool:
+        """Tells whether the id of a request is that of an upstream's call."""
+        return bool(self._parent_id(request))
+
+    def identify(
+        self,
+        request: http_messages.Request,
+        table: tenants.TenantTable,
+        is_exempt: bool,
+    ) -> identity.Identity:
+        """Returns the tenant of a request, and whether it may run.
+
+        Args:
+            request: Request of a caller or of the local upstream.
+            table: Tenants of the configuration in force.
+            is_exempt: Whether the route needs no key.
+        """
+        parent_id = self._parent_id(request)
+        if self._local_upstream.is_running(parent_id):
+            name = self._local_upstream.running_tenant(parent_id)
+            return identity.identify_inner(table, name)
+        authorization = request.header(self._header_names.authorization)
+        return identity.identify(table, authorization, is_exempt)
+
+    def _parent_id(self, request: http_messages.Request) -> bytes:
+        request_id = request.header(self._header_names.request_id)
+        return self._header_names.parent_id(request_id)
+
     def make(
         self,
         request: http_messages.Request,
         target: routes.Target,
         version: int,
+        tenant: generated.Tenant | None = None,
+        hides_keys: bool = False,
     ) -> IncomingCall | None:
         """Makes a call from a request and its route.
 
@@ -72,6 +111,9 @@
             request: Request of a caller.
             target: Route and policy that match it.
             version: Version of the configuration that has the route.
+            tenant: Tenant of the request; None if it has none.
+            hides_keys: Whether the upstream gets the name of the tenant in
+                place of the key.
 
         Returns:
             The call; None if the deadline header is not a number.
@@ -85,10 +127,7 @@
             caller_timeout_ms = int(text)
         name = target.route.name
         request_id = request.header(self._header_names.request_id)
-        # Whether the local upstream makes this call while it runs a request.
-        inner = self._local_upstream.is_running(
-            self._header_names.parent_id(request_id)
-        )
+        inner = self.is_inner(request)
         # The target latency counts from the caller's first attempt. A caller
         # that tries again sets a shorter deadline, which shows the time used.
         elapsed_ms = 0
@@ -105,8 +144,8 @@
             service=service,
             method=request.method,
             target=request.target,
-            headers=self._headers(request),
-            priority=target.policy.priority,
+            headers=self._headers(request, tenant, hides_keys),
+            priority=_priority(target, tenant),
             idempotent=target.route.idempotent == "yes",
             version=version,
             body=request.body,
@@ -115,6 +154,7 @@
             returned=request.is_first
             and self._elapsed_time.has_returned(name, elapsed_ms),
             inner=inner,
+            tenant=tenant.name if tenant else "",
         )
         deadline = request.received_at + timeout_ms / 1000
         return IncomingCall(
@@ -123,26 +163,40 @@
             target,
             request.received_at,
             target_at,
+            tenant,
         )
 
     def _headers(
-        self, request: http_messages.Request
+        self,
+        request: http_messages.Request,
+        tenant: generated.Tenant | None,
+        hides_keys: bool,
     ) -> tuple[messages.Header, ...]:
         """Returns the headers that are passed on to the upstream."""
+        names = self._header_names
         replaced = (
-            self._header_names.caller_service,
-            self._header_names.deadline_ms,
-            self._header_names.expected_instance,
+            names.caller_service,
+            names.deadline_ms,
+            names.expected_instance,
             b"content-length",
             b"expect",
         )
+        if hides_keys:
+            replaced = (*replaced, names.authorization, names.tenant)
         headers = [
             messages.Header(name, value)
             for name, value in http_messages.end_to_end(request.headers)
             if name not in replaced
         ]
         service = self._own.member.service.encode()
-        headers.append(
-            messages.Header(self._header_names.caller_service, service)
-        )
+        headers.append(messages.Header(names.caller_service, service))
+        if tenant is not None:
+            headers.append(messages.Header(names.tenant, tenant.name.encode()))
         return tuple(headers)
+
+
+def _priority(target: routes.Target, tenant: generated.Tenant | None) -> int:
+    """Returns the priority of a call; that of the tenant goes first."""
+    if tenant is not None and tenant.priority >= 0:
+        return tenant.priority
+    return target.policy.priority
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -72,7 +72,8 @@
         # result is whether the call got a slot.
         self._slot_futures: dict[int, asyncio.Future[bool]] = {}
         self._call_numbers = itertools.count(1)
-        self._running_request_ids: set[bytes] = set()
+        # Names of the tenants of the requests that run, by id of the request.
+        self._running_tenants: dict[bytes, str] = {}
         self._is_stopping = False
         self._reported_change = anyio.Event()
 
@@ -120,7 +121,11 @@
 
     def is_running(self, request_id: bytes) -> bool:
         """Tells whether the upstream is running a request."""
-        return request_id in self._running_request_ids
+        return request_id in self._running_tenants
+
+    def running_tenant(self, request_id: bytes) -> str:
+        """Returns the tenant of a request that runs; empty if it has none."""
+        return self._running_tenants.get(request_id, "")
 
     async def wait_reported_change(self) -> None:
         """Waits until something changes that peers must learn at once."""
@@ -228,7 +233,7 @@
             started_at = time.monotonic()
             request = await self._receive_body_in_turn(request)
             received_at = time.monotonic()
-            self._running_request_ids.add(request_id)
+            self._running_tenants[request_id] = call_open.tenant
             self._memory.pin(len(request.open.body))
             try:
                 answer = await self._exchange(client, upstream, request)
@@ -236,7 +241,7 @@
                 self._memory.unpin(len(request.open.body))
             status = answer.status
         finally:
-            self._running_request_ids.discard(request_id)
+            self._running_tenants.pop(request_id, None)
             queue.withdraw(waiter)
             now = time.monotonic()
             held_s = now - started_at if status else 0.0
