Keep a tenant's requests over all daemons within its rate

Change: the home daemon of a tenant leases tokens of one bucket to the daemons that its requests come to, in proportion to their requests when they are short; a zone that is cut off gives the share of its daemons. Requests beyond the rate get 429 with the time until the home may be asked again. Result: replays without a network (79 daemons, 4.7 times the rate, a demand that moves, a cut, a lowered limit) keep the bound and refuse what one bucket would.

--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -488,5 +488,6 @@
         | messages.VersionHint
         | messages.EditionRequest
         | messages.ZoneExchange
-        | messages.PeerNews,
+        | messages.PeerNews
+        | messages.QuotaRequest,
     )
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -25,6 +25,7 @@
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import incomingcall
 from rattangauge.sidecar import localupstream
+from rattangauge.sidecar import quotas as quotas_module
 from rattangauge.sidecar import rejections
 from rattangauge.sidecar import responses
 from rattangauge.sidecar import upstreamchoice
@@ -73,6 +74,7 @@
         self._shutdown: shutdown_module.Shutdown | None = None
         self._retry_budget = retry.RetryBudget(RETRY_SHARE, RETRY_BURST)
         self._random = random_module.Random()
+        self._quotas = quotas_module.Quotas(links, peers, log)
         self._upstreams = upstreamchoice.UpstreamChoice(
             settings, links, peers, self._call_log, self._random
         )
@@ -85,6 +87,11 @@
         """Version of the configuration in force; 0 if there is none."""
         return self._route_table.version if self._route_table else 0
 
+    @property
+    def quotas(self) -> quotas_module.Quotas:
+        """Quotas of the tenants."""
+        return self._quotas
+
     @property
     def limits(self) -> server_module.Limits:
         """Limits on what callers may send."""
@@ -93,6 +100,7 @@
     def apply(self, edition: edition_module.Edition) -> None:
         """Applies a configuration to all requests that arrive from now on."""
         self._route_table = routes.compile_routes(edition)
+        self._quotas.apply(self._route_table.tenants)
         limits = self._route_table.limits
         self._limits = server_module.Limits(
             header_bytes=limits.max_header_bytes,
@@ -115,6 +123,7 @@
         """
         try:
             call = self._admit(request)
+            await self._take_quota(call)
         except rejections.RejectedError as rejection:
             return self._reject(request, rejection)
         self._call_log.record_start(
@@ -211,6 +220,22 @@
         text = "the request has no key of a tenant"
         raise rejections.RejectedError(401, errorcodes.CALL_UNKNOWN_KEY, text)
 
+    async def _take_quota(self, call: incomingcall.IncomingCall) -> None:
+        """Takes a request from the quota of its tenant.
+
+        Calls of an upstream belong to a request that was counted.
+
+        Raises:
+            rejections.RejectedError: The tenant has used up its quota.
+        """
+        if call.tenant is None or call.request.open.inner:
+            return
+        hold_s = await self._quotas.take(call.tenant)
+        if hold_s > 0.0:
+            text = f"the quota of tenant {call.tenant.name} is used up"
+            code = errorcodes.CALL_QUOTA
+            raise rejections.RejectedError(429, code, text, round(hold_s, 3))
+
     def _may_start(self, call: incomingcall.IncomingCall) -> bool:
         """Tells whether a call may start in view of a shutdown."""
         if self._shutdown is None:
@@ -397,6 +422,9 @@
             text = f"no upstream of {call.request.open.service} is known"
             failure = exchange.not_run(errorcodes.CALL_NO_UPSTREAM, text)
         failure = retry.settle(failure, progress.may_have_run)
+        is_not_run = failure.outcome == messages.Outcome.NOT_RUN
+        if is_not_run and call.tenant and not call.request.open.inner:
+            self._quotas.restore(call.tenant)
         status, retry_after_s = self._status_and_retry_after(call, failure)
         self._call_log.record_failure(
             call.request_id,
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -288,6 +288,8 @@
             await forwardedcall.serve(stream, message, self._local_upstream.run)
         elif isinstance(message, messages.PeerNews):
             await self._peer_exchange.handle_report(stream, message)
+        elif isinstance(message, messages.QuotaRequest):
+            await self._dispatcher.quotas.serve(stream, message)
         elif isinstance(message, messages.EditionRequest):
             await self._config_sync.serve(stream, message)
 
--- /dev/null
+++ b/rattangauge/sidecar/quotas.py
@@ -0,0 +1,291 @@
+"""Keeps the tenants' requests over all daemons within their rates."""
+
+import asyncio
+import math
+import time
+
+import loguru
+
+from rattangauge import decisionlog
+from rattangauge import errors
+from rattangauge import futures
+from rattangauge.calls import quota
+from rattangauge.config import tenants
+from rattangauge.generated import logevents
+from rattangauge.generated import messages
+from rattangauge.generated import objects as generated
+from rattangauge.membership import peers as peers_module
+from rattangauge.net import connection_pool
+
+# Time within which the home of a tenant must answer.
+ASK_TIMEOUT_S = 0.25
+# A home that did not answer is not asked for this time.
+UNREACHABLE_S = 1.0
+# A zone counts as cut off if no message came from it for this time.
+HEARD_S = 1.0
+# Time for which the result of a look at all daemons is used.
+REACH_TTL_S = 0.1
+# Scale of the demand in messages.
+DEMAND_SCALE = 1000.0
+
+_LEFT = messages.MemberState.LEFT
+
+
+class _TenantUse:
+    """Use of one tenant's quota by this daemon.
+
+    Attributes:
+        lease: Tokens of the tenant.
+        demand: Requests that this daemon received.
+        waiters: Futures of the requests that wait for tokens.
+        is_asking: Whether an ask is under way.
+    """
+
+    def __init__(self) -> None:
+        self.lease = quota.Lease()
+        self.demand = quota.DemandMeter()
+        self.waiters: list[asyncio.Future[None]] = []
+        self.is_asking = False
+
+
+class Quotas:
+    """Tokens that this daemon uses, and those that it gives as a home."""
+
+    def __init__(
+        self,
+        links: connection_pool.Links,
+        peers: peers_module.PeerTable,
+        log: decisionlog.DecisionLog,
+    ) -> None:
+        """Creates the state without tenants.
+
+        Args:
+            links: Connections to the other daemons.
+            peers: All known daemons, which are the homes of tenants.
+            log: Log of decisions.
+        """
+        self._links = links
+        self._peers = peers
+        self._log = log
+        self._limits: dict[str, quota.Limit] = {}
+        self._uses: dict[str, _TenantUse] = {}
+        self._buckets: dict[str, quota.Bucket] = {}
+        self._rankings: dict[str, list[str]] = {}
+        self._ranked_revision = -1
+        self._unreachable_until: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
+        self._reach_share = 1.0
+        self._reach_until = -math.inf
+        self._started_at = time.monotonic()
+        self._tasks = futures.Tasks()
+
+    def apply(self, table: tenants.TenantTable) -> None:
+        """Applies the limits of the configuration in force."""
+        now = time.monotonic()
+        self._limits = {
+            name: quota.Limit(tenant.rate_per_s, tenant.burst)
+            for name, tenant in table.by_name.items()
+            if tenant.rate_per_s > 0.0
+        }
+        for uses in (self._uses, self._buckets):
+            for name in uses.keys() - self._limits.keys():
+                del uses[name]
+        for name, bucket in self._buckets.items():
+            bucket.set_limit(self._limit(name), now)
+
+    async def take(self, tenant: generated.Tenant) -> float:
+        """Takes a token for a request.
+
+        Returns:
+            0 if the request may run; else the time in seconds after which its
+            caller may return.
+        """
+        if tenant.name not in self._limits:
+            return 0.0
+        use = self._uses.setdefault(tenant.name, _TenantUse())
+        now = time.monotonic()
+        use.demand.add(now)
+        if use.lease.take(now):
+            return 0.0
+        if use.lease.hold_s(now) > 0.0:
+            return max(quota.MIN_HOLD_S, use.lease.hold_s(now))
+        await self._wait_for_answer(tenant.name, use)
+        now = time.monotonic()
+        if use.lease.take(now):
+            return 0.0
+        return max(quota.MIN_HOLD_S, use.lease.hold_s(now))
+
+    def restore(self, tenant: generated.Tenant) -> None:
+        """Gives back the token of a request that did not run."""
+        use = self._uses.get(tenant.name)
+        if use is not None:
+            use.lease.restore(time.monotonic())
+
+    async def serve(
+        self, stream: connection_pool.Stream, request: messages.QuotaRequest
+    ) -> None:
+        """Answers another daemon that asks for tokens."""
+        self._record_heard(request.mesh)
+        demand_per_s = request.demand / DEMAND_SCALE
+        ask = quota.Ask(request.mesh, max(1, request.wanted), demand_per_s)
+        grant = self._grant(request.tenant, ask)
+        hold_ms = math.ceil(grant.hold_s * 1000)
+        await stream.send(messages.QuotaGrant(grant.tokens, hold_ms))
+
+    async def _wait_for_answer(self, name: str, use: _TenantUse) -> None:
+        """Asks the home for tokens, or waits for the ask that is under way."""
+        waiter = asyncio.get_running_loop().create_future()
+        use.waiters.append(waiter)
+        if not use.is_asking:
+            use.is_asking = True
+            # A caller that leaves must not cancel the ask for the others.
+            self._tasks.start(self._ask(name, use))
+        await waiter
+
+    async def _ask(self, name: str, use: _TenantUse) -> None:
+        """Asks for tokens and wakes the requests that wait for them."""
+        now = time.monotonic()
+        own = self._peers.own.member.mesh
+        # Requests that arrive while the ask is under way need tokens, too.
+        ask = quota.Ask(own, len(use.waiters), use.demand.per_s(now))
+        grant = quota.Grant(0, quota.MIN_HOLD_S)
+        try:
+            grant = await self._find_grant(name, ask)
+        finally:
+            use.is_asking = False
+            now = time.monotonic()
+            use.lease.renew(grant, now)
+            if grant.hold_s > 0.0:
+                self._record_hold(name, ask, grant)
+            waiters, use.waiters = use.waiters, []
+            for waiter in waiters:
+                futures.wake(waiter)
+
+    async def _find_grant(self, name: str, ask: quota.Ask) -> quota.Grant:
+        """Returns the answer of the first home or deputy that can be reached.
+
+        Only one deputy is tried, so that no request waits for long; beyond it
+        the daemon uses its own part of the rate.
+        """
+        own = self._peers.own.member.mesh
+        now = time.monotonic()
+        reachable = [
+            address
+            for address in self._ranking(name)
+            if self._unreachable_until.get(address, 0.0) <= now
+        ]
+        for address in reachable[:2]:
+            if address == own:
+                return self._grant(name, ask)
+            try:
+                return await self._request(address, name, ask)
+            except errors.CodedError as error:
+                until = time.monotonic() + UNREACHABLE_S
+                self._unreachable_until[address] = until
+                loguru.logger.debug(
+                    "no tokens of {} from {}: {}", name, address, error
+                )
+        return self._grant(name, ask)
+
+    async def _request(
+        self, address: str, name: str, ask: quota.Ask
+    ) -> quota.Grant:
+        """Asks another daemon for tokens.
+
+        Raises:
+            errors.CodedError: It did not answer.
+        """
+        demand = int(ask.demand_per_s * DEMAND_SCALE)
+        request = messages.QuotaRequest(ask.asker, name, ask.wanted, demand)
+        reply = await self._links.request(
+            address, request, ASK_TIMEOUT_S, connection_pool.SMALL_BODIES
+        )
+        self._record_heard(address)
+        if not isinstance(reply, messages.QuotaGrant):
+            return quota.Grant(0, quota.MIN_HOLD_S)
+        return quota.Grant(reply.tokens, reply.hold_ms / 1000)
+
+    def _grant(self, name: str, ask: quota.Ask) -> quota.Grant:
+        """Gives tokens of this daemon, as home, deputy or for itself."""
+        if name not in self._limits:
+            # The configuration of the asker may be older than this one.
+            return quota.Grant(ask.wanted, 0.0)
+        now = time.monotonic()
+        limit = self._limit(name)
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            age_s = now - self._started_at
+            bucket = self._buckets[name] = quota.Bucket(limit, now, age_s)
+        bucket.set_limit(limit, now)
+        return bucket.grant(ask, now)
+
+    def _limit(self, name: str) -> quota.Limit:
+        """Returns the part of a tenant's limit that this daemon may give."""
+        limit = self._limits[name]
+        own = self._peers.own.member.mesh
+        ranked = self._ranking(name)
+        if own not in ranked:
+            return limit.scaled(1.0 / max(1, len(ranked) + 1))
+        before = ranked[: ranked.index(own)]
+        if any(self._is_reachable(address) for address in before):
+            # The home or another deputy gives the rest.
+            return limit.scaled(1.0 / len(ranked))
+        return limit.scaled(self._reachable_share())
+
+    def _record_heard(self, address: str) -> None:
+        """Records a message of another daemon."""
+        peer = self._peers.get(address)
+        if peer is not None:
+            self._heard_at[peer.member.zone] = time.monotonic()
+
+    def _reachable_share(self) -> float:
+        """Returns the share of the daemons in zones that are not cut off."""
+        now = time.monotonic()
+        if now < self._reach_until:
+            return self._reach_share
+        self._reach_until = now + REACH_TTL_S
+        own_zone = self._peers.own.member.zone
+        members: dict[str, int] = {}
+        heard = {own_zone}
+        for peer in self._peers:
+            zone = peer.member.zone
+            members[zone] = members.get(zone, 0) + 1
+            last_at = self._heard_at.get(zone, -math.inf)
+            if min(peer.load_age_s(now), now - last_at) <= HEARD_S:
+                heard.add(zone)
+        self._reach_share = quota.reachable_share(members, heard)
+        return self._reach_share
+
+    def _is_reachable(self, address: str) -> bool:
+        peer = self._peers.get(address)
+        if peer is None or peer.failures:
+            return False
+        return self._unreachable_until.get(address, 0.0) <= time.monotonic()
+
+    def _ranking(self, name: str) -> list[str]:
+        """Returns the addresses of all daemons, the tenant's home first."""
+        if self._ranked_revision != self._peers.revision:
+            self._ranked_revision = self._peers.revision
+            self._rankings.clear()
+        ranked = self._rankings.get(name)
+        if ranked is None:
+            addresses = [
+                peer.member.mesh
+                for peer in self._peers
+                if peer.member.state != _LEFT
+            ]
+            ranked = self._rankings[name] = quota.ranking(name, addresses)
+        return ranked
+
+    def _record_hold(
+        self, name: str, ask: quota.Ask, grant: quota.Grant
+    ) -> None:
+        self._log.record(
+            logevents.QuotaHeld(
+                tenant=name,
+                wanted=ask.wanted,
+                granted=grant.tokens,
+                demand_per_s=round(ask.demand_per_s, 1),
+                hold_ms=round(grant.hold_s * 1000, 1),
+            )
+        )
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -26,6 +26,8 @@
     zoneExchange @19 :ZoneExchange;
     peerNews @20 :PeerNews;
     linkEnd @21 :LinkEnd;
+    quotaRequest @22 :QuotaRequest;
+    quotaGrant @23 :QuotaGrant;
   }
 }
 
@@ -203,6 +205,18 @@
   startedMs @2 :UInt64;  # its start, milliseconds since 1970
 }
 
+# Asks the home daemon of a tenant for tokens of its quota.
+struct QuotaRequest {
+  mesh @0 :Text;        # of the sender
+  tenant @1 :Text;
+  wanted @2 :UInt32;    # tokens that requests wait for
+  demand @3 :UInt32;    # requests of the tenant in 1000 s, at the sender
+}
+struct QuotaGrant {
+  tokens @0 :UInt32;
+  holdMs @1 :UInt32;    # time until the sender may ask again
+}
+
 # Report of a daemon about itself to its peers.
 struct PeerNews {
   member @0 :Member;
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,215 @@
+"""Quotas of tenants: load patterns without a network, and small meshes."""
+
+import random
+
+import anyio
+import pytest
+
+from rattangauge.calls import quota
+from tests import meshes
+
+TRACK = meshes.path("/track/", "skladby")
+# A window of the bound and what may exceed it, as on the users' platform.
+WINDOW_S = 5.0
+OVER = 0.1
+SLACK = 20
+
+
+@pytest.fixture
+def anyio_backend():
+    """Event loop that the daemons use on the platform."""
+    return "asyncio", {"use_uvloop": True}
+
+
+class Daemon:
+    """A daemon whose asks are answered at once."""
+
+    def __init__(self, name):
+        """Creates a daemon without tokens."""
+        self.name = name
+        self.lease = quota.Lease()
+        self.demand = quota.DemandMeter()
+        self.asks = 0
+
+    def handle(self, bucket, now):
+        """Tells whether a request may run."""
+        self.demand.add(now)
+        if self.lease.take(now):
+            return True
+        if self.lease.hold_s(now) > 0.0:
+            return False
+        self.asks += 1
+        ask = quota.Ask(self.name, 1, self.demand.per_s(now))
+        self.lease.renew(bucket.grant(ask, now), now)
+        return self.lease.take(now)
+
+
+def _arrivals(pattern, seed):
+    """Yields time and daemon of each request; a pattern gives the rate."""
+    source, chooser, now = random.Random(seed), random.Random(seed), 0.0
+    while now < 15.0:
+        rate_per_s, daemons = pattern(now)
+        now += source.expovariate(rate_per_s)
+        yield now, chooser.choice(daemons)
+
+
+def _run(limit, pattern, seed=1, lower=None):
+    """Returns the times of the requests that ran, and those refused."""
+    bucket = quota.Bucket(limit, 0.0, 100.0)
+    ran, refused = [], []
+    for now, daemon in _arrivals(pattern, seed):
+        if lower is not None and now > 7.0:
+            bucket.set_limit(lower, now)
+        (ran if daemon.handle(bucket, now) else refused).append(now)
+    return ran, refused
+
+
+def _most_in_a_window(times):
+    ends = range(len(times))
+    most = begin = 0
+    for end in ends:
+        while times[end] - times[begin] > WINDOW_S:
+            begin += 1
+        most = max(most, end - begin + 1)
+    return most
+
+
+def _bound(limit):
+    allowed = limit.rate_per_s * WINDOW_S + limit.burst
+    return allowed * (1 + OVER) + SLACK
+
+
+def _daemons(count=79):
+    return [Daemon(f"10.0.0.{n}:1") for n in range(count)]
+
+
+@pytest.mark.parametrize("rate_per_s", [2.0, 20.0, 330.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_one_tenant_at_seven_times_its_rate_keeps_to_the_bound(
+    rate_per_s, seed
+):
+    """Guards against a tenant that gets its rate at each daemon."""
+    daemons = _daemons()
+    limit = quota.Limit(rate_per_s, rate_per_s)
+
+    def pattern(now):
+        return rate_per_s * (4.7 if 4.0 < now < 11.0 else 0.6), daemons
+
+    ran, _refused = _run(limit, pattern, seed)
+    assert _most_in_a_window(ran) <= _bound(limit)
+    in_peak = [now for now in ran if 5.0 < now < 11.0]
+    assert len(in_peak) > 0.8 * rate_per_s * 6.0
+
+
+@pytest.mark.parametrize("rate_per_s", [2.0, 20.0, 330.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_what_lies_within_the_rate_is_not_refused(rate_per_s, seed):
+    """Guards against requests that are refused below the limit.
+
+    The demand moves from one zone to another meanwhile.
+    """
+    daemons = _daemons()
+    zones = daemons[:26], daemons[26:]
+
+    def pattern(now):
+        return rate_per_s * 0.62, zones[now > 5.0]
+
+    limit = quota.Limit(rate_per_s, rate_per_s)
+    ran, refused = _run(limit, pattern, seed)
+    # A bucket beside all requests refuses what is beyond the burst.
+    single = [Daemon("10.0.0.1:1")]
+    _ran, beyond = _run(limit, lambda now: (pattern(now)[0], single), seed)
+    assert len(refused) <= len(beyond) + max(1, 0.01 * len(ran))
+
+
+def test_a_lowered_limit_binds_within_a_window():
+    """Guards against a limit that old leases outlive."""
+    daemons = _daemons()
+    lower = quota.Limit(20.0, 20.0)
+    ran, _refused = _run(
+        quota.Limit(200.0, 200.0), lambda _now: (180.0, daemons), lower=lower
+    )
+    after = [now for now in ran if now > 7.0 + quota.LEASE_S]
+    assert _most_in_a_window(after) <= _bound(lower)
+
+
+def test_a_hot_tenant_asks_seldom():
+    """Guards against a home that is busy with asks it must refuse."""
+    daemons = _daemons()
+    limit = quota.Limit(330.0, 330.0)
+    _run(limit, lambda _now: (330.0 * 4.7, daemons))
+    assert sum(daemon.asks for daemon in daemons) / 15.0 < 79 * 8
+
+
+def test_two_parts_of_a_cut_mesh_together_keep_to_the_bound():
+    """Guards against each part of a cut mesh giving the whole rate."""
+    limit = quota.Limit(100.0, 100.0)
+    members = {"a": 26, "b": 27, "c": 26}
+    ran = []
+    for heard, count in (({"a", "b"}, 53), ({"c"}, 26)):
+        share = quota.reachable_share(members, heard)
+        part, daemons = limit.scaled(share), _daemons(count)
+        demand = 4.7 * 100.0 * len(daemons) / 79
+        ran += _run(part, lambda _now, d=daemons, r=demand: (r, d))[0]
+    assert _most_in_a_window(sorted(ran)) <= _bound(limit)
+
+
+def test_homes_are_spread_and_stay_when_a_daemon_leaves():
+    """Guards against tenants that all move when one daemon ends."""
+    addresses = [daemon.name for daemon in _daemons()]
+    tenants = [f"tenant-{n}" for n in range(200)]
+    before = {t: quota.ranking(t, addresses)[0] for t in tenants}
+    assert len(set(before.values())) > 50
+    left = [address for address in addresses if address != before["tenant-0"]]
+    moved = [t for t in tenants if quota.ranking(t, left)[0] != before[t]]
+    assert all(before[t] == before["tenant-0"] for t in moved)
+
+
+async def _start(mesh, rate_per_s, *names):
+    choir = {
+        "name": "choir",
+        "api-keys": ["k1"],
+        "rate-per-s": rate_per_s,
+        "burst": rate_per_s,
+    }
+    mesh.version += 1
+    spec = meshes.configuration(mesh.version, [TRACK], ("skladby",))
+    mesh.store.put("config", "main", spec | {"tenants": [choir]})
+    for name in names:
+        await mesh.add(name)
+    await mesh.wait_ready()
+    await mesh.send_heartbeats()
+
+
+async def _call(mesh, name):
+    return await mesh.call(name, "/track/1", authorization="Bearer k1")
+
+
+async def test_requests_at_all_daemons_share_one_quota():
+    """Guards against a quota for each daemon; the Retry-After is given."""
+    async with meshes.running() as mesh:
+        await _start(mesh, 4, "a", "b", "c")
+        await anyio.sleep(1.0)
+        answers = [await _call(mesh, name) for name in "abc" * 6]
+        statuses = [answer[0] for answer in answers]
+        assert 4 <= statuses.count(200) <= 10
+        refused = [answer for answer in answers if answer[0] == 429]
+        assert all(
+            float(headers[b"retry-after"]) > 0 for _, headers, _ in refused
+        )
+
+
+async def test_a_killed_home_refuses_no_request_within_the_rate():
+    """Guards against requests that wait for a home that is gone."""
+    async with meshes.running() as mesh:
+        await _start(mesh, 400, "a", "b", "c")
+        instance = mesh.instances["a"]
+        (home, *_rest) = instance.node._dispatcher.quotas._ranking("choir")
+        killed = next(
+            name
+            for name, i in mesh.instances.items()
+            if i.settings.listen.mesh == home
+        )
+        mesh.instances[killed].kill()
+        for name in "abc".replace(killed, ""):
+            assert (await _call(mesh, name))[0] == 200
