--- a/rattangauge/lab/patterns.py
+++ b/rattangauge/lab/patterns.py
@@ -1,6 +1,7 @@
 """Load patterns: services, kinds of calls, rates over time and faults."""
 
 from collections.abc import Callable
+import itertools
 import math
 from typing import NamedTuple
 
@@ -155,6 +156,74 @@
 )  # fmt: skip
 
 
+def _spread(
+    slots: int, counts: tuple[int, ...], time_factors: tuple[float, ...]
+) -> tuple[UpstreamSpec, ...]:
+    """Returns upstreams in several zones whose speeds repeat in turn.
+
+    Args:
+        slots: Calls that each of them runs concurrently.
+        counts: Number of upstreams in each zone.
+        time_factors: Factors of the time that calls take.
+    """
+    zones = [zone for zone, count in enumerate(counts) for _ in range(count)]
+    factors = itertools.cycle(time_factors)
+    return tuple(
+        UpstreamSpec(ZONES[zone], slots, next(factors)) for zone in zones
+    )
+
+
+# A service whose calls need a second, smaller one that has callers of its own.
+SHOP_SERVICES = {
+    "storefront": _spread(5, (5, 5, 5), (0.7, 0.7, 1.7)),
+    "stock": _spread(5, (2, 1, 1), (0.6, 1.0, 1.4)),
+}
+
+SHOP_CALL_KINDS = (
+    CallKind(
+        "quote", "storefront", 150.0, 0.14, 0.758, 1.726, 7, 1.0, 0.3, 900,
+        (InnerCall("check", 2, 0.7),),
+    ),
+    CallKind(
+        "order", "storefront", 51.0, 0.19, 0.982, 2.232, 8, 2.0, 0.6, 2400,
+    ),
+    CallKind(
+        "drawing", "stock", 18.0, 0.12, 1.145, 2.693, 7, 1.0, 0.3, 90_000,
+    ),
+    CallKind(
+        "booking", "stock", 16.0, 0.12, 0.659, 1.438, 7, 1.0, 0.3, 5600,
+    ),
+    CallKind(
+        "check", "stock", 0.0, 0.042, 0.264, 0.802, 7, 0.0, 0.0, 800,
+    ),
+)  # fmt: skip
+
+# Short calls of another service beside long calls of low priority.
+ARCHIVE_SERVICES = {
+    "catalog": _spread(9, (3, 3, 3), (2.0, 1.0, 1.0, 0.7)),
+    "vault": _spread(9, (2, 2, 2), (2.0, 1.0, 1.0, 0.7)),
+}
+
+ARCHIVE_CALL_KINDS = (
+    CallKind(
+        "lookup", "catalog", 92.0, 0.31, 1.1, 6.6, 9, 1.4, 0.17, 2200,
+        (InnerCall("checksum", 2, 0.7),),
+    ),
+    CallKind(
+        "deposit", "catalog", 38.0, 0.4, 1.3, 8.7, 8, 1.5, 0.44, 2400,
+    ),
+    CallKind(
+        "frame", "vault", 14.0, 0.25, 1.3, 7.8, 8, 0.73, 0.22, 90_000,
+    ),
+    CallKind(
+        "preview", "vault", 20.0, 1.2, 6.1, 20.3, 7, 0.37, 0.17, 1000,
+    ),
+    CallKind(
+        "checksum", "vault", 0.0, 0.078, 0.4, 1.33, 9, 0.0, 0.0, 800,
+    ),
+)  # fmt: skip
+
+
 def _sine_wave(base: float, amplitude: float, period_s: float) -> RateFactor:
     return lambda t: (
         base * (1.0 + amplitude * math.sin(t * math.tau / period_s))
@@ -224,5 +293,28 @@
                 Outage("skladby", 2, 6.0, 8.0),
             ),
         ),
+        Pattern(
+            "shared",
+            "calls that need a second service, at a wave above its room",
+            SHOP_SERVICES,
+            SHOP_CALL_KINDS,
+            _sine_wave(1.0, 0.55, 17.0),
+            duration_s=17.0,
+        ),
+        Pattern(
+            "shared-peak",
+            "the same, far above the room of both services",
+            SHOP_SERVICES,
+            SHOP_CALL_KINDS,
+            _step(1.5, 1.0, 0, 0),
+        ),
+        Pattern(
+            "previews",
+            "a burst of long calls beside short ones that others wait for",
+            ARCHIVE_SERVICES,
+            ARCHIVE_CALL_KINDS,
+            _step(1.0, 1.9, 4.0, 9.0),
+            max_returns=2,
+        ),
     )
 }
