Keep the bursts of all retry budgets within the slack of the mesh

Change: the setting calls.retry_slack; the bursts of all daemons stay below 0.8 of it, and are as before in small meshes. The priority of a tenant goes before that of the route, which now orders the calls of tenants of one priority. Result: doctests; tests of the adapter.

--- a/rattangauge/calls/call_queue.py
+++ b/rattangauge/calls/call_queue.py
@@ -53,7 +53,7 @@
     Attributes:
         number: Identifies the call; unique in one queue.
         kind: Kind of the call; calls of one kind have similar hold times.
-        priority: 0 to 9; 9 is served first.
+        priority: A higher one is served first.
         returned: Whether the call was refused before and is repeated.
         inner: Whether an upstream sent the call while it runs another one. If
             the inner call is refused, the work on the outer one is lost.
--- a/rattangauge/calls/retry.py
+++ b/rattangauge/calls/retry.py
@@ -16,6 +16,9 @@
 # saved up to a maximum for a burst of failures.
 BUDGET_SHARE = 0.2
 BUDGET_MAX = 20.0
+# Share of the retries of the whole mesh that bursts may use. Calls of upstreams
+# that run a request again count as retries, too.
+SLACK_SHARE = 0.8
 
 # Mean pause before the first retry at the same upstream. It doubles with each
 # retry, up to a maximum.
@@ -35,6 +38,27 @@
 )
 
 
+def burst_share(slack: float, daemons: int, longest: float) -> float:
+    """Returns the burst of one daemon's budget.
+
+    In an outage all daemons use up their bursts at once, so the bursts together
+    stay within what the whole mesh may do.
+
+    Args:
+        slack: Retries that all daemons may make together; 0 for no limit.
+        daemons: Number of daemons.
+        longest: Largest burst of a daemon.
+
+    >>> burst_share(60.0, 10, 4.0), burst_share(0.0, 10, 4.0)
+    (4.0, 4.0)
+    >>> burst_share(200.0, 80, 4.0)
+    2.0
+    """
+    if slack <= 0.0:
+        return longest
+    return min(longest, SLACK_SHARE * slack / max(1, daemons))
+
+
 class RetryBudget:
     """Token bucket for retries, which is filled by calls."""
 
@@ -56,6 +80,11 @@
         """Retries that are left."""
         return self._tokens
 
+    def set_burst(self, burst: float) -> None:
+        """Sets the largest number of retries in the budget."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def add_call(self) -> None:
         """Adds the share of one call, which is not a retry, to the budget."""
         self._tokens = min(self._burst, self._tokens + self._share)
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -276,6 +276,11 @@
         Returns:
             The response to the caller.
         """
+        slack = self._settings.calls.retry_slack
+        daemons = len(self._peers)
+        self._retry_budget.set_burst(
+            retry.burst_share(slack, daemons, RETRY_BURST)
+        )
         self._retry_budget.add_call()
         progress = callprogress.CallProgress()
         while (
--- a/rattangauge/sidecar/incomingcall.py
+++ b/rattangauge/sidecar/incomingcall.py
@@ -16,6 +16,8 @@
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import localupstream
 
+# Number of the priorities of a route, from 0.
+PRIORITY_LEVELS = 10
 # A deadline with more digits is longer than any timeout of a route.
 MAX_DEADLINE_DIGITS = 9
 
@@ -196,7 +198,11 @@
 
 
 def _priority(target: routes.Target, tenant: generated.Tenant | None) -> int:
-    """Returns the priority of a call; that of the tenant goes first."""
+    """Returns the priority of a call; that of its tenant goes first.
+
+    Calls of tenants of the same priority are ordered by their routes.
+    """
+    priority = target.policy.priority
     if tenant is not None and tenant.priority >= 0:
-        return tenant.priority
-    return target.policy.priority
+        priority += PRIORITY_LEVELS * tenant.priority
+    return priority
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -318,6 +318,9 @@
         "#bounds.stable-window-s": "",
         "bounds.stable-window-s": "4",
         "/bounds.stable-window-s": "",
+        "#bounds.retry-budget-slack": "",
+        "bounds.retry-budget-slack": "60",
+        "/bounds.retry-budget-slack": "",
     }
     return re.sub(
         r"\{\{([^}]*)\}\}",
@@ -336,6 +339,7 @@
     assert settings.instance.drain_s == 3
     assert settings.shutdown.limit_s == 10.0
     assert settings.platform.stable_s == 4.0
+    assert settings.calls.retry_slack == 60.0
     assert settings.platform.url == "http://10.0.0.1:80"
 
 
