Keep slots free for short urgent calls

Cause: previews of 1.2 s with the lowest priority took all slots of an upstream, and the calls that other upstreams wait for waited for them. The estimate of hold times moves to a module of its own.

--- a/rattangauge/calls/call_queue.py
+++ b/rattangauge/calls/call_queue.py
@@ -15,19 +15,12 @@
 import math
 from typing import NamedTuple
 
+from rattangauge.calls import hold_time
 from rattangauge.calls import request_rate
+from rattangauge.calls import slot_reserve
 
-# Hold time to assume before any is known.
-DEFAULT_HOLD_S = 0.05
 # Weight of a new hold time in the moving average of its kind of calls.
 KIND_HOLD_WEIGHT = 0.1
-# Largest mean hold time. An upstream whose calls do not end would otherwise
-# have one that grows without bound and does not fit into a load message.
-MAX_HOLD_S = 60.0
-# Time constant of the mean hold time of all calls.
-HOLD_MEMORY_S = 0.4
-# The mean hold time counts as unknown after this time without a running call.
-HOLD_TTL_S = 3.0
 
 # The hold times of calls of one kind differ. To end by its deadline, a call
 # is assumed to need this multiple of the mean.
@@ -83,54 +76,6 @@
     refused: tuple[QueuedCall, ...] = ()
 
 
-class _HoldTimeEstimate:
-    """Estimate of the mean hold time that also grows while no call ends.
-
-    It is the time for which slots were held, divided by the number of calls
-    that ended; both decay exponentially. Since calls in progress add to the
-    held time, the estimate shows that an upstream slows down before any of its
-    slow calls has ended.
-    """
-
-    def __init__(self, now: float) -> None:
-        """Starts as if one call with the default hold time had ended."""
-        self._held_s = DEFAULT_HOLD_S
-        self._ended_count = 1.0
-        self._updated_at = now
-        self._last_running_at = now - HOLD_TTL_S
-
-    @property
-    def hold_s(self) -> float:
-        """Mean hold time in seconds; at most ``MAX_HOLD_S``."""
-        if self._held_s >= MAX_HOLD_S * self._ended_count:
-            return MAX_HOLD_S
-        return self._held_s / self._ended_count
-
-    def advance(self, running: int, now: float) -> None:
-        """Adds the slot time that was held since the last update.
-
-        Args:
-            running: Calls that ran since the last update.
-            now: Time.
-        """
-        elapsed_s = max(0.0, now - self._updated_at)
-        self._updated_at = now
-        if not running:
-            return
-        self._last_running_at = now
-        decay = math.exp(-elapsed_s / HOLD_MEMORY_S)
-        self._held_s = self._held_s * decay + running * elapsed_s
-        self._ended_count *= decay
-
-    def is_measured(self, now: float) -> bool:
-        """Tells whether a call has run in the last ``HOLD_TTL_S`` seconds."""
-        return now - self._last_running_at < HOLD_TTL_S
-
-    def end(self) -> None:
-        """Counts a call that ended."""
-        self._ended_count += 1.0
-
-
 class _Entry(NamedTuple):
     """A waiting call; entries sort in the order of service.
 
@@ -190,6 +135,11 @@
     return not waiter.inner, -waiter.priority, not waiter.returned
 
 
+def _urgency(waiter: QueuedCall) -> tuple[bool, int]:
+    """Returns how urgent a call is; the highest is served first."""
+    return waiter.inner, waiter.priority
+
+
 class Queue:
     """Slots of one upstream, and the calls that wait for them.
 
@@ -209,9 +159,10 @@
         self._running: dict[int, QueuedCall] = {}
         self._waiting: list[_Entry] = []
         self._kind_hold_s: dict[str, float] = {}
-        self._pace = _HoldTimeEstimate(now)
+        self._pace = hold_time.HoldTimeEstimate(now)
         self._rate: request_rate.RequestRate | None = None
         self._arrivals = itertools.count()
+        self._recent = slot_reserve.RecentArrivals()
         self._is_closed = False
 
     @property
@@ -287,7 +238,9 @@
         self._pace.advance(self.running, now)
         if self._is_closed:
             return QueueDecision(refused=(waiter,))
-        if not self._waiting and self._may_start(now):
+        self._recent.add(waiter.kind, _urgency(waiter), now)
+        is_next = not self._waiting or self._can_pass(waiter, now)
+        if is_next and self._has_slot(waiter, now) and self._may_start(now):
             return QueueDecision(started=(self._start(waiter),))
         entry = _Entry(_rank(waiter), next(self._arrivals), waiter)
         index = bisect.bisect_right(self._waiting, entry)
@@ -325,8 +278,16 @@
         """
         started = []
         refused = list(self._refuse_late(0, now))
-        while self._waiting and self._may_start(now):
-            started.append(self._start(self._waiting.pop(0).waiter))
+        index = 0
+        while index < len(self._waiting) and self.running < self._slots:
+            waiter = self._waiting[index].waiter
+            if not self._has_slot(waiter, now):
+                index += 1
+                continue
+            if not self._may_start(now):
+                break
+            del self._waiting[index]
+            started.append(self._start(waiter))
         return QueueDecision(tuple(started), tuple(refused))
 
     def set_slots(self, slots: int) -> None:
@@ -349,6 +310,29 @@
         self._waiting.clear()
         return QueueDecision(refused=refused)
 
+    def _has_slot(self, waiter: QueuedCall, now: float) -> bool:
+        """Tells whether a free slot may be given to a call.
+
+        Long calls may not take the slots that are reserved for urgent ones.
+        """
+        if self.running >= self._slots:
+            return False
+        if self.running < slot_reserve.max_long(self._slots):
+            return True
+        urgent = self._recent.more_urgent(_urgency(waiter), now)
+        long_s = slot_reserve.long_hold_s([self.hold_s(k) for k in urgent])
+        if self.hold_s(waiter.kind) < long_s:
+            return True
+        running = self._running.values()
+        long_count = sum(1 for c in running if self.hold_s(c.kind) >= long_s)
+        return long_count < slot_reserve.max_long(self._slots)
+
+    def _can_pass(self, waiter: QueuedCall, now: float) -> bool:
+        """Tells whether all waiting calls wait for a slot that it may take."""
+        return not any(
+            self._has_slot(entry.waiter, now) for entry in self._waiting
+        )
+
     def _may_start(self, now: float) -> bool:
         """Tells whether a call may start; takes it from the rate if so."""
         if self.running >= self._slots:
--- a/rattangauge/lab/model.py
+++ b/rattangauge/lab/model.py
@@ -257,6 +257,8 @@
 
     def _schedule_arrival(self, kind: patterns.CallKind) -> None:
         rate = kind.rate * max(0.01, self._pattern.factor(self._now))
+        if kind.factor is not None:
+            rate *= kind.factor(self._now)
         delay_s = self._random.expovariate(rate)
         if self._now + delay_s >= self._pattern.duration_s:
             return
