Take no request with a key for a call of an upstream

Cause: a request without an id that ran beside a daemon was the parent of each request whose id has no dot, so these ran without a key and outside any quota; and a caller with any key, also a revoked one, ran as the tenant of a request whose id it knew. Change: a request without an id is the parent of none, and a key goes before the id.

--- a/rattangauge/sidecar/incomingcall.py
+++ b/rattangauge/sidecar/incomingcall.py
@@ -67,8 +67,20 @@
         self._call_numbers = itertools.count(1)
         self._elapsed_time = elapsed_time.ElapsedTimeEstimator()
 
-    def is_inner(self, request: http_messages.Request) -> bool:
-        """Tells whether the local upstream makes a request for another one."""
+    def is_inner(
+        self, request: http_messages.Request, has_tenants: bool
+    ) -> bool:
+        """Tells whether the local upstream makes a request for another one.
+
+        Upstreams get no keys, so a request with one comes from a caller, who
+        may choose any id.
+
+        Args:
+            request: Request of a caller or of the local upstream.
+            has_tenants: Whether callers need keys.
+        """
+        if has_tenants and request.header(self._header_names.authorization):
+            return False
         return self._local_upstream.is_running(self._parent_id(request))
 
     def may_be_inner(self, request: http_messages.Request) -> bool:
@@ -88,8 +100,8 @@
             table: Tenants of the configuration in force.
             is_exempt: Whether the route needs no key.
         """
-        parent_id = self._parent_id(request)
-        if self._local_upstream.is_running(parent_id):
+        if self.is_inner(request, bool(table.by_name)):
+            parent_id = self._parent_id(request)
             name = self._local_upstream.running_tenant(parent_id)
             return identity.identify_inner(table, name)
         authorization = request.header(self._header_names.authorization)
@@ -129,7 +141,7 @@
             caller_timeout_ms = int(text)
         name = target.route.name
         request_id = request.header(self._header_names.request_id)
-        inner = self.is_inner(request)
+        inner = self.is_inner(request, hides_keys)
         # The target latency counts from the caller's first attempt. A caller
         # that tries again sets a shorter deadline, which shows the time used.
         elapsed_ms = 0
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -120,8 +120,8 @@
         return self._queue.running + self._queue.queued
 
     def is_running(self, request_id: bytes) -> bool:
-        """Tells whether the upstream is running a request."""
-        return request_id in self._running_tenants
+        """Tells whether the upstream is running a request; none without id."""
+        return bool(request_id) and request_id in self._running_tenants
 
     def running_tenant(self, request_id: bytes) -> str:
         """Returns the tenant of a request that runs; empty if it has none."""
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -1,5 +1,8 @@
 """Keys of tenants, from the configuration to the upstream."""
 
+import functools
+
+import anyio
 import pytest
 
 from rattangauge.calls import identity
@@ -141,6 +144,39 @@
         assert _arrived(mesh)[-1].header(b"tenant-id") == b"school"
 
 
+async def _wait_until_running(mesh, count):
+    async def is_running():
+        return len(_arrived(mesh)) >= count
+
+    await mesh.wait(is_running)
+
+
+async def test_a_key_goes_before_the_id_of_a_running_request():
+    """Guards against callers that take the place of another's upstream."""
+    async with meshes.running() as mesh:
+        await _start(mesh, "a")
+
+        async def work(request):
+            await anyio.sleep(0.3)
+            return appworker.sealed(request)
+
+        mesh.instances["a"].upstream.behaviour = work
+        async with anyio.create_task_group() as tasks:
+            for name in ("", "first"):
+                sent = {"authorization": "Bearer k1", "request_id": name}
+                tasks.start_soon(
+                    functools.partial(mesh.call, "a", "/track/1", **sent)
+                )
+            await _wait_until_running(mesh, 2)
+            # A request without an id is the parent of no other.
+            assert (await mesh.call("a", "/track/2"))[0] == 401
+            revoked = {"authorization": "Bearer k9", "request_id": "first.1"}
+            assert (await mesh.call("a", "/track/2", **revoked))[0] == 401
+            school = revoked | {"authorization": "Bearer k3"}
+            assert (await mesh.call("a", "/track/2", **school))[0] == 200
+        assert _arrived(mesh)[-1].header(b"tenant-id") == b"school"
+
+
 async def test_revoked_and_added_keys_bind_with_the_version():
     """Guards against a revoked key that runs on."""
     async with meshes.running() as mesh:
