Refuse tenants that no header can name, and show no key in an error

Cause: a text in place of the list of keys made a key of each of its letters; a key that is a number, or a list, stood in the error of the daemon, and a wrong list of keys of a published tenant in the finding; a name with a line break would have ended the header of the upstream, and one that is no UTF-8 each request. Change: keys are a list of words, names are printable, and findings of secret fields show no value.

--- a/rattangauge/config/check.py
+++ b/rattangauge/config/check.py
@@ -124,7 +124,7 @@
 def _check_tenants(
     objects: objects_module.ObjectSet, places: dict[tuple[str, str], str]
 ) -> Iterator[errors.Finding]:
-    for name, finding in tenants.check_keys(objects):
+    for name, finding in tenants.check_tenants(objects):
         place = _format_place(places, "tenant", name)
         yield finding._replace(place=place)
 
--- a/rattangauge/config/tenants.py
+++ b/rattangauge/config/tenants.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from rattangauge import errors
+from rattangauge import fields
 from rattangauge.config import objects as objects_module
 from rattangauge.generated import errorcodes
 from rattangauge.generated import objects as generated
@@ -39,10 +40,10 @@
     return TenantTable(by_key, by_name)
 
 
-def check_keys(
+def check_tenants(
     objects: objects_module.ObjectSet,
 ) -> Iterator[tuple[str, errors.Finding]]:
-    """Checks that each key is a text of its own tenant alone.
+    """Checks that names fit into a header, and that keys have one tenant each.
 
     Findings tell the position of a key, as the key itself is a secret.
 
@@ -54,10 +55,14 @@
     """
     owners: dict[str, str] = {}
     for name, tenant in sorted(objects["tenant"].items()):
+        if not name or not name.isprintable():
+            message = "the name is empty or has control characters"
+            code = errorcodes.OBJECT_NAME
+            yield fields.label(name), errors.Finding("", "name", message, code)
         for index, key in enumerate(getattr(tenant, "keys", ())):
             field = f"keys[{index}]"
-            if not key or not key.isascii() or not key.isprintable():
-                message = "the key is empty or has characters beyond ASCII"
+            if not _is_key(key):
+                message = "the key is not a word of printable ASCII characters"
                 code = errorcodes.OBJECT_RANGE
                 yield name, errors.Finding("", field, message, code)
                 continue
@@ -66,3 +71,13 @@
                 message = f"tenant {other!r} has the same key"
                 code = errorcodes.OBJECT_AMBIGUOUS
                 yield name, errors.Finding("", field, message, code)
+
+
+def _is_key(text: str) -> bool:
+    """Tells whether a caller can send a text as the key in a header."""
+    return (
+        bool(text)
+        and text.isascii()
+        and text.isprintable()
+        and (" " not in text)
+    )
--- a/rattangauge/fields.py
+++ b/rattangauge/fields.py
@@ -20,6 +20,7 @@
         min: Least value, or least length of a list.
         max: Greatest value, or greatest length of a list.
         choices: Permitted values; all if empty.
+        secret: Whether findings must not show the value.
     """
 
     kind: str
@@ -27,6 +28,7 @@
     min: float | None = None
     max: float | None = None
     choices: tuple[str, ...] = ()
+    secret: bool = False
 
 
 class Codes(NamedTuple):
@@ -68,6 +70,11 @@
     return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
 
 
+def _show(spec: FieldSpec, value: Any) -> str:
+    """Formats the value of a field for a finding; hides a secret one."""
+    return "the value" if spec.secret else show(value)
+
+
 def label(name: str) -> str:
     r"""Formats a name from an input file so that a finding stays one line.
 
@@ -97,7 +104,8 @@
         values = value if isinstance(value, list) else [value]
         wrong = [item for item in values if item not in spec.choices]
         if wrong:
-            return f"{show(wrong[0])} is not one of {', '.join(spec.choices)}"
+            choices = ", ".join(spec.choices)
+            return f"{_show(spec, wrong[0])} is not one of {choices}"
         return ""
     if spec.kind == "list[int]":
         item_errors = (
@@ -109,9 +117,9 @@
     size = len(value) if isinstance(value, list) else value
     # The comparisons are negated because NaN must fail them.
     if spec.min is not None and not size >= spec.min:
-        return f"{show(value)} is below the minimum {spec.min}"
+        return f"{_show(spec, value)} is below the minimum {spec.min}"
     if spec.max is not None and not size <= spec.max:
-        return f"{show(value)} is above the maximum {spec.max}"
+        return f"{_show(spec, value)} is above the maximum {spec.max}"
     return ""
 
 
@@ -143,9 +151,11 @@
     if _has_type(spec.kind, value):
         if _is_in_range(value):
             return None
-        text = f"{show(value)} has an integer of more than 64 bits"
+        text = f"{_show(spec, value)} has an integer of more than 64 bits"
         return _Fault(text, codes.type)
-    return _Fault(f"{show(value)} is not of type {spec.kind}", codes.type)
+    return _Fault(
+        f"{_show(spec, value)} is not of type {spec.kind}", codes.type
+    )
 
 
 def _is_in_range(value: Any) -> bool:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -4,14 +4,18 @@
 
 import anyio
 import pytest
+from rattangauge_platform import configuration
 
+from rattangauge import errors
 from rattangauge.calls import identity
 from rattangauge.config import check
 from rattangauge.config import delta
+from rattangauge.config import objects as objects_module
 from rattangauge.config import tenants
 from rattangauge.generated import errorcodes
 from rattangauge.generated import objects as generated
 from standins import appworker
+from standins import configurations
 from tests import builders
 from tests import meshes
 
@@ -80,6 +84,39 @@
     assert "secret-1" not in str(finding)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"name": "choir", "api-keys": "secret"},
+        {"name": "choir", "api-keys": {"secret": 1}},
+        {"name": "choir", "api-keys": [["secret"]]},
+        {"name": "choir", "api-keys": [73523]},
+        {"name": "choir", "api-keys": ["secret "]},
+        {"name": "", "api-keys": ["secret"]},
+        {"name": "choir\r\nhost: x", "api-keys": ["secret"]},
+        {"name": "choir\ud800", "api-keys": ["secret"]},
+    ],
+)
+def test_a_wrong_tenant_is_refused_without_its_key(fields):
+    """Guards against keys of one letter, and against keys in errors.
+
+    The name of a tenant becomes a header of the requests of its callers.
+    """
+    spec = configurations.configuration(1, [TRACK], ("skladby",))
+    with pytest.raises(errors.CodedError) as raised:
+        configuration.Converter().convert(spec | {"tenants": [fields]})
+    assert "secret" not in str(raised.value)
+    assert "73523" not in str(raised.value)
+
+
+def test_findings_of_published_tenants_show_no_key():
+    """Guards against keys in the findings of a daemon or an operator."""
+    table = {"name": "choir", "keys": ["secret", 1]}
+    (finding,) = objects_module.read_tables({"tenant": [table]}, "f").findings
+    assert finding.field == "keys"
+    assert "secret" not in str(finding)
+
+
 def test_one_key_of_many_arrives_as_a_difference():
     """Guards against a table of 10,000 keys that is sent as a whole."""
     many = [
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -239,7 +239,7 @@
 def _fieldspec(kind: str, field: dict) -> str:
     extra = "".join(
         f", {key}={_literal(field[key])}"
-        for key in ("min", "max", "choices")
+        for key in ("min", "max", "choices", "secret")
         if key in field
     )
     default = (
