Pass no key or tenant in any spelling of a header

Cause: Tenant_Id is Tenant-Id for an upstream that takes names as CGI does, and a key in Proxy-Authorization reached the upstream. Change: names are compared with '-' for '_', and both headers with keys are taken out. Result: the test failed before.

--- a/rattangauge/sidecar/incomingcall.py
+++ b/rattangauge/sidecar/incomingcall.py
@@ -196,11 +196,17 @@
             b"expect",
         )
         if hides_keys:
-            replaced = (*replaced, names.authorization, names.tenant)
+            replaced = (
+                *replaced,
+                names.authorization,
+                names.tenant,
+                b"proxy-authorization",
+            )
+        # Some HTTP servers take "_" in names for "-", as CGI does.
         headers = [
             messages.Header(name, value)
             for name, value in http_messages.end_to_end(request.headers)
-            if name not in replaced
+            if name.replace(b"_", b"-") not in replaced
         ]
         service = self._own.member.service.encode()
         headers.append(messages.Header(names.caller_service, service))
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -147,6 +147,30 @@
             assert b"k1" not in instance.log_bytes
 
 
+async def test_no_spelling_of_a_header_passes_a_key_or_a_tenant():
+    """Guards against upstreams that take '_' and '-' in names as the same."""
+    lines = (
+        b"GET /track/1 HTTP/1.1",
+        b"host: " + meshes.HOST.encode(),
+        b"AUTHORIZATION: Bearer k1",
+        b"Authorization: Bearer k3",
+        b"Proxy-Authorization: Bearer k1",
+        b"Tenant_Id: school",
+        b"TENANT-ID: school",
+        b"connection: tenant-id",
+    )
+    async with meshes.running() as mesh:
+        await _start(mesh, "a")
+        caller = await mesh.connect("a")
+        await caller._stream.send(b"\r\n".join((*lines, b"", b"")))
+        await _wait_until_running(mesh, 1)
+        (request,) = _arrived(mesh)
+        assert not [v for _name, v in request.headers if b"Bearer" in v]
+        names = [n.replace(b"_", b"-") for n, _value in request.headers]
+        assert names.count(b"tenant-id") == 1
+        assert request.header(b"tenant-id") == b"choir"
+
+
 async def test_unknown_and_missing_keys_get_401():
     """Guards against requests that run without a key."""
     async with meshes.running() as mesh:
