Begin with half of the burst at a new home of a tenant

Cause: the bucket of a new home counted the time since the daemon's start, so after a home ended the next one gave a whole burst again. Change: it counts the time since the daemons that may be homes have changed; the order of homes is worked out anew only for other addresses, not for each change of an upstream, and times of addresses that have gone are forgotten.

--- a/rattangauge/sidecar/quotas.py
+++ b/rattangauge/sidecar/quotas.py
@@ -1,6 +1,7 @@
 """Keeps the tenants' requests over all daemons within their rates."""
 
 import asyncio
+import itertools
 import math
 import time
 
@@ -74,11 +75,15 @@
         self._buckets: dict[str, quota.Bucket] = {}
         self._rankings: dict[str, list[str]] = {}
         self._ranked_revision = -1
+        # Addresses that may be homes, and those of them that are out of reach.
+        self._addresses: list[str] = []
+        self._unreachable: list[str] = []
         self._unreachable_until: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._reach_share = 1.0
         self._reach_until = -math.inf
-        self._started_at = time.monotonic()
+        # Last time at which another daemon may have become a home.
+        self._changed_at = time.monotonic()
         self._tasks = futures.Tasks()
 
     def apply(self, table: tenants.TenantTable) -> None:
@@ -173,19 +178,21 @@
         """
         own = self._peers.own.member.mesh
         now = time.monotonic()
-        reachable = [
+        reachable = (
             address
             for address in self._ranking(name)
             if self._unreachable_until.get(address, 0.0) <= now
-        ]
-        for address in reachable[:2]:
+        )
+        for address in itertools.islice(reachable, 2):
             if address == own:
                 return self._grant(name, ask)
             try:
                 return await self._request(address, name, ask)
             except errors.CodedError as error:
-                until = time.monotonic() + UNREACHABLE_S
+                now = time.monotonic()
+                until = now + UNREACHABLE_S
                 self._unreachable_until[address] = until
+                self._changed_at = now
                 loguru.logger.debug(
                     "no tokens of {} from {}: {}", name, address, error
                 )
@@ -218,7 +225,7 @@
         limit = self._limit(name)
         bucket = self._buckets.get(name)
         if bucket is None:
-            age_s = now - self._started_at
+            age_s = now - self._changed_at
             bucket = self._buckets[name] = quota.Bucket(limit, now, age_s)
         bucket.set_limit(limit, now)
         return bucket.grant(ask, now)
@@ -270,17 +277,33 @@
         """Returns the addresses of all daemons, the tenant's home first."""
         if self._ranked_revision != self._peers.revision:
             self._ranked_revision = self._peers.revision
-            self._rankings.clear()
+            self._follow_peers()
         ranked = self._rankings.get(name)
         if ranked is None:
-            addresses = [
-                peer.member.mesh
-                for peer in self._peers
-                if peer.member.state != _LEFT
-            ]
-            ranked = self._rankings[name] = quota.ranking(name, addresses)
+            ranked = quota.ranking(name, self._addresses)
+            self._rankings[name] = ranked
         return ranked
 
+    def _follow_peers(self) -> None:
+        """Forgets what depends on the daemons, if others are there now.
+
+        Most changes of the peers concern their upstreams alone.
+        """
+        present = [p for p in self._peers if p.member.state != _LEFT]
+        addresses = [peer.member.mesh for peer in present]
+        unreachable = [peer.member.mesh for peer in present if peer.failures]
+        if addresses != self._addresses:
+            self._rankings.clear()
+            known = self._unreachable_until.keys() & set(addresses)
+            self._unreachable_until = {
+                address: self._unreachable_until[address] for address in known
+            }
+        is_first = not self._addresses
+        if (addresses, unreachable) != (self._addresses, self._unreachable):
+            self._addresses, self._unreachable = addresses, unreachable
+            if not is_first:
+                self._changed_at = time.monotonic()
+
     def _record_hold(
         self, name: str, ask: quota.Ask, grant: quota.Grant
     ) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -232,6 +232,28 @@
     assert links.asks <= 3
 
 
+async def test_a_new_home_begins_with_half_of_the_burst():
+    """Guards against a burst of the old home and one of the new home."""
+    home = "10.0.0.2:1"
+    own = _own_that_is(1)
+    quotas, table = _quotas(Links(), own)
+    # The daemon has been up for long.
+    quotas._changed_at -= 100.0
+    assert quotas._ranking("choir") == [home, own]
+    table.remove(home)
+    quotas._grant("choir", quota.Ask(own, 1, 0.0))
+    assert quotas._buckets["choir"].tokens <= CHOIR.burst / 2
+
+
+async def test_a_home_that_was_never_asked_has_its_whole_burst():
+    """Guards against requests that are refused below the limit."""
+    own = _own_that_is(0)
+    quotas, _table = _quotas(Links(), own)
+    quotas._changed_at -= 100.0
+    quotas._reach_until = float("inf")
+    assert quotas._grant("choir", quota.Ask(own, 40, 0.0)).tokens == 40
+
+
 async def _start(mesh, rate_per_s, *names):
     choir = {
         "name": "choir",
