Bound what a home remembers, says and gets back

Cause: a home kept the demand of each daemon that ever asked, 10,000 in the test, and summed those that asked lately at each ask; the time for which another daemon told to hold was taken as it came, up to 49 days; and the token of a request that was refused after seconds came on top of the lease of that time, beyond the bound of the window. Change: demands are forgotten ten times a second and their sum is kept, times are at most 2 s, and a token comes back within the time of its lease alone.

--- a/rattangauge/calls/quota.py
+++ b/rattangauge/calls/quota.py
@@ -19,6 +19,8 @@
 DEMAND_MEMORY_S = 1.0
 # A daemon gets what it asks for while the bucket holds this share of the burst.
 PLENTY_SHARE = 0.5
+# Time between two looks for daemons that have stopped asking, in seconds.
+FORGET_PERIOD_S = 0.1
 # Shortest and longest time after which a caller beyond the rate may return.
 MIN_HOLD_S = 0.05
 MAX_HOLD_S = 2.0
@@ -148,6 +150,8 @@
         self._updated_at = now
         # Demand of each daemon that asked lately, with the time of its ask.
         self._demands: dict[str, tuple[float, float]] = {}
+        self._total_demand = 0.0
+        self._forget_at = now + FORGET_PERIOD_S
 
     @property
     def tokens(self) -> float:
@@ -163,18 +167,20 @@
     def grant(self, ask: Ask, now: float) -> Grant:
         """Gives tokens to a daemon."""
         self._advance(now)
-        self._demands[ask.asker] = ask.demand_per_s, now
+        self._record_demand(ask, now)
         expected = ask.wanted + int(ask.demand_per_s * LEASE_S)
         plenty = PLENTY_SHARE * max(1.0, self._limit.burst)
         if self._tokens - expected >= plenty:
             return self._give(expected, 0.0)
-        share = self._share(ask.asker, now)
+        share = 1.0
+        if self._total_demand > 0.0:
+            share = ask.demand_per_s / self._total_demand
         rate_per_s = max(1e-9, self._limit.rate_per_s * share)
         fair = max(1, int(rate_per_s * LEASE_S))
         given = min(fair, expected, int(self._tokens))
         if given >= ask.wanted:
             return self._give(given, 0.0)
-        if self._total_demand() <= self._limit.rate_per_s:
+        if self._total_demand <= self._limit.rate_per_s:
             # A short burst: there is a token for the next ask of any daemon.
             rate_per_s = self._limit.rate_per_s
         hold_s = max(1, given) / rate_per_s
@@ -184,19 +190,20 @@
         self._tokens -= tokens
         return Grant(tokens, hold_s)
 
-    def _share(self, asker: str, now: float) -> float:
-        """Returns the part of a daemon in the demand of all."""
+    def _record_demand(self, ask: Ask, now: float) -> None:
+        """Stores the demand of a daemon; forgets those that ask no more."""
+        before, _at = self._demands.get(ask.asker, (0.0, now))
+        self._demands[ask.asker] = ask.demand_per_s, now
+        self._total_demand += ask.demand_per_s - before
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_PERIOD_S
         self._demands = {
-            address: (demand, at)
-            for address, (demand, at) in self._demands.items()
-            if now - at <= max(LEASE_S, MAX_HOLD_S)
+            asker: (demand, at)
+            for asker, (demand, at) in self._demands.items()
+            if now - at <= MAX_HOLD_S
         }
-        total = self._total_demand()
-        return self._demands[asker][0] / total if total else 1.0
-
-    def _total_demand(self) -> float:
-        """Returns the requests a second at all daemons that asked lately."""
-        return sum(demand for demand, _at in self._demands.values())
+        self._total_demand = sum(d for d, _at in self._demands.values())
 
     def _advance(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._updated_at)
@@ -222,9 +229,17 @@
         self._tokens -= 1
         return True
 
-    def restore(self, now: float) -> None:
-        """Gives back the token of a request that did not run."""
-        if now < self._expires_at:
+    def restore(self, taken_at: float, now: float) -> None:
+        """Gives back the token of a request that did not run.
+
+        After the time of its lease, a token would come on top of what the home
+        gives for a later time.
+
+        Args:
+            taken_at: Time at which the token was taken.
+            now: Time.
+        """
+        if now < min(self._expires_at, taken_at + LEASE_S):
             self._tokens += 1
 
     def hold_s(self, now: float) -> float:
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -429,7 +429,7 @@
         failure = retry.settle(failure, progress.may_have_run)
         is_not_run = failure.outcome == messages.Outcome.NOT_RUN
         if is_not_run and call.tenant and not call.request.open.inner:
-            self._quotas.restore(call.tenant)
+            self._quotas.restore(call.tenant, call.received_at)
         status, retry_after_s = self._status_and_retry_after(call, failure)
         self._call_log.record_failure(
             call.request_id,
--- a/rattangauge/sidecar/quotas.py
+++ b/rattangauge/sidecar/quotas.py
@@ -124,11 +124,17 @@
             return 0.0
         return max(quota.MIN_HOLD_S, use.lease.hold_s(now))
 
-    def restore(self, tenant: generated.Tenant) -> None:
-        """Gives back the token of a request that did not run."""
+    def restore(self, tenant: generated.Tenant, taken_at: float) -> None:
+        """Gives back the token of a request that did not run.
+
+        Args:
+            tenant: Tenant of the request.
+            taken_at: Time at which the request was received, on the clock of
+                ``time.monotonic``, in seconds.
+        """
         use = self._uses.get(tenant.name)
         if use is not None:
-            use.lease.restore(time.monotonic())
+            use.lease.restore(taken_at, time.monotonic())
 
     async def serve(
         self, stream: connection_pool.Stream, request: messages.QuotaRequest
@@ -214,7 +220,8 @@
         self._record_heard(address)
         if not isinstance(reply, messages.QuotaGrant):
             return quota.Grant(0, quota.MIN_HOLD_S)
-        return quota.Grant(reply.tokens, reply.hold_ms / 1000)
+        hold_s = min(quota.MAX_HOLD_S, reply.hold_ms / 1000)
+        return quota.Grant(reply.tokens, hold_s)
 
     def _grant(self, name: str, ask: quota.Ask) -> quota.Grant:
         """Gives tokens of this daemon, as home, deputy or for itself."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,6 +1,7 @@
 """Quotas of tenants: load patterns without a network, and small meshes."""
 
 import random
+import time
 
 import anyio
 import pytest
@@ -254,6 +255,39 @@
     assert quotas._grant("choir", quota.Ask(own, 40, 0.0)).tokens == 40
 
 
+async def test_the_token_of_a_request_that_waited_long_is_not_used_again():
+    """Guards against tokens of an earlier window on top of a later one."""
+    quotas, _table = _quotas(Links(), _own_that_is(0))
+    now = time.monotonic()
+    assert await quotas.take(CHOIR) == 0.0
+    lease = quotas._uses["choir"].lease
+    before = lease._tokens
+    quotas.restore(CHOIR, now - quota.LEASE_S)
+    assert lease._tokens == before
+    quotas.restore(CHOIR, now)
+    assert lease._tokens == before + 1
+
+
+async def test_a_wrong_answer_of_a_home_holds_a_tenant_for_a_moment():
+    """Guards against a time of weeks that another daemon names."""
+    links = Links()
+    links.request = _answer_with_a_long_hold
+    quotas, _table = _quotas(links, _own_that_is(1))
+    assert await quotas.take(CHOIR) <= quota.MAX_HOLD_S
+
+
+async def _answer_with_a_long_hold(*_args):
+    return messages.QuotaGrant(0, 2**32 - 1)
+
+
+def test_daemons_that_have_gone_are_forgotten():
+    """Guards against state that grows with each replaced daemon."""
+    bucket = quota.Bucket(quota.Limit(100.0, 100.0), 0.0, 100.0)
+    for number in range(10_000):
+        bucket.grant(quota.Ask(f"daemon-{number}", 1, 0.1), number / 10.0)
+    assert len(bucket._demands) < 200
+
+
 async def _start(mesh, rate_per_s, *names):
     choir = {
         "name": "choir",
