Let large transfers have their turn, and wait with whole timers

Change: the age of a transfer counts in its favour, timers take a millisecond at least, and an unknown link leaves answers whole.

--- a/rattangauge/calls/transfer_schedule.py
+++ b/rattangauge/calls/transfer_schedule.py
@@ -7,7 +7,8 @@
 piece at most.
 
 The transfer with the fewest bytes left goes first, which leaves the fewest
-callers waiting.
+callers waiting. The time that a transfer has taken counts in its favour, so
+that a large one is not passed over without end.
 """
 
 import math
@@ -18,6 +19,8 @@
 LINK_SHARE = 0.9
 # Time for which the network may hold bytes that it has not sent, in seconds.
 MAX_AHEAD_S = 0.005
+# Time on the link that makes up for a second since the transfer began.
+AGE_WEIGHT = 0.25
 
 
 class TransferSchedule:
@@ -34,6 +37,8 @@
         """
         self._bytes_per_s = link_bytes_per_s * LINK_SHARE
         self._left_bytes: dict[int, int] = {}
+        # The transfer with the lowest rank goes first.
+        self._ranks: dict[int, float] = {}
         # Time at which the link has sent all that it was given.
         self._free_at = -math.inf
 
@@ -47,18 +52,22 @@
         waiting_s = self.waiting_bytes / self._bytes_per_s
         return max(0.0, self._free_at - now) + waiting_s
 
-    def request(self, number: int, left_bytes: int) -> None:
+    def request(self, number: int, left_bytes: int, began_at: float) -> None:
         """Requests a turn for the next piece of a transfer.
 
         Args:
             number: Identifies the transfer.
             left_bytes: Bytes of it that were not handed to the network.
+            began_at: Time at which the transfer began.
         """
         self._left_bytes[number] = left_bytes
+        left_s = left_bytes / self._bytes_per_s
+        self._ranks[number] = left_s + AGE_WEIGHT * began_at
 
     def withdraw(self, number: int) -> None:
         """Withdraws the request of a transfer, if there is one."""
         self._left_bytes.pop(number, None)
+        self._ranks.pop(number, None)
 
     def delay_s(self, now: float) -> float:
         """Returns the time until the link takes the next piece."""
@@ -73,8 +82,9 @@
         """
         if not self._left_bytes or self.delay_s(now) > 0.0:
             return None
-        number = min(self._left_bytes, key=self._left_bytes.__getitem__)
-        size = min(PIECE_BYTES, self._left_bytes.pop(number))
+        number = min(self._ranks, key=self._ranks.__getitem__)
+        size = min(PIECE_BYTES, self._left_bytes[number])
+        self.withdraw(number)
         begin = max(now, self._free_at)
         self._free_at = begin + size / self._bytes_per_s
         return number, size
--- a/rattangauge/sidecar/linkpacer.py
+++ b/rattangauge/sidecar/linkpacer.py
@@ -13,6 +13,8 @@
 # An answer from this size on is sent in pieces, in bytes.
 LARGE_ANSWER_BYTES = 16_384
 BYTES_PER_S_PER_MBPS = 125_000
+# Shortest delay of a timer.
+MIN_TIMER_S = 0.001
 
 
 class LinkPacer:
@@ -26,6 +28,7 @@
                 unknown, which delays nothing.
         """
         rate = link_mbps * BYTES_PER_S_PER_MBPS or math.inf
+        self._is_paced = rate < math.inf
         self._schedule = transfer_schedule.TransferSchedule(rate)
         self._numbers = itertools.count()
         # Futures of the transfers that wait for their turn; the result is the
@@ -40,7 +43,7 @@
 
     def response(self, answer: messages.AnswerOpen) -> exchange.Response:
         """Returns an answer as a response, whose large body comes in pieces."""
-        if len(answer.body) < LARGE_ANSWER_BYTES:
+        if not self._is_paced or len(answer.body) < LARGE_ANSWER_BYTES:
             return exchange.Response(answer, None)
         head = answer._replace(body=b"", last=False)
         return exchange.Response(head, self.pieces(answer.body))
@@ -48,21 +51,23 @@
     async def pieces(self, body: bytes) -> AsyncIterator[bytes]:
         """Yields the pieces of a body, each when the link has room for it."""
         number = next(self._numbers)
+        began_at = time.monotonic()
         offset = 0
         try:
             while offset < len(body):
-                size = await self._turn(number, len(body) - offset)
+                left_bytes = len(body) - offset
+                size = await self._turn(number, left_bytes, began_at)
                 yield body[offset : offset + size]
                 offset += size
         finally:
             self._schedule.withdraw(number)
             self._turns.pop(number, None)
 
-    async def _turn(self, number: int, left_bytes: int) -> int:
+    async def _turn(self, number: int, left_bytes: int, began_at: float) -> int:
         """Waits for the turn of a transfer; returns the size of its piece."""
         turn = asyncio.get_running_loop().create_future()
         self._turns[number] = turn
-        self._schedule.request(number, left_bytes)
+        self._schedule.request(number, left_bytes, began_at)
         self._grant()
         return await turn
 
@@ -75,7 +80,7 @@
             if not turn.done():
                 turn.set_result(size)
         if self._schedule.waiting_bytes and self._timer is None:
-            delay_s = self._schedule.delay_s(now)
+            delay_s = max(MIN_TIMER_S, self._schedule.delay_s(now))
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(delay_s, self._handle_timer)
 
--- a/tests/test_linkpacer.py
+++ b/tests/test_linkpacer.py
@@ -22,13 +22,13 @@
     """Sends all transfers; returns the time at which each has ended."""
     ended = {}
     for number, size in left.items():
-        schedule.request(number, size)
+        schedule.request(number, size, now)
     while left:
         now += schedule.delay_s(now)
         number, size = schedule.take(now)
         left[number] -= size
         if left[number]:
-            schedule.request(number, left[number])
+            schedule.request(number, left[number], 0.0)
         else:
             del left[number]
             ended[number] = now
@@ -43,12 +43,37 @@
     assert max(ended.values()) < 1_100_000 / LINK_BYTES_PER_S / 0.9
 
 
+def test_a_large_transfer_is_not_passed_over_without_end():
+    """Guards against small transfers that take the whole link."""
+    schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
+    now, number, left, began = 0.0, 1, {1: 540_000}, {1: 0.0}
+    schedule.request(1, left[1], 0.0)
+    next_at = 0.0
+    while 1 in left and now < 10.0:
+        while now >= next_at:
+            # Small ones alone fill the link.
+            number, next_at = number + 1, next_at + 0.14
+            left[number], began[number] = 90_000, next_at
+            schedule.request(number, left[number], next_at)
+        piece = schedule.take(now)
+        if piece is None:
+            now += max(0.001, schedule.delay_s(now))
+            continue
+        taken, size = piece
+        left[taken] -= size
+        if left[taken]:
+            schedule.request(taken, left[taken], began[taken])
+        else:
+            del left[taken]
+    assert now < 6.0
+
+
 def test_the_link_is_never_given_more_than_a_piece_ahead():
     """Guards against short messages that wait for a whole large answer."""
     schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
     given, now, left = 0, 0.0, 300_000
     while left:
-        schedule.request(1, left)
+        schedule.request(1, left, 0.0)
         now += schedule.delay_s(now)
         _number, size = schedule.take(now)
         given, left = given + size, left - size
@@ -60,7 +85,7 @@
     """Guards against daemons that send more answers to a full link."""
     schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
     assert schedule.backlog_s(0.0) == 0.0
-    schedule.request(1, 100_000)
+    schedule.request(1, 100_000, 0.0)
     assert schedule.backlog_s(0.0) == pytest.approx(0.16, abs=0.01)
     schedule.withdraw(1)
     assert schedule.backlog_s(0.0) == 0.0
@@ -91,6 +116,22 @@
     assert pacer.backlog_s < 0.2
 
 
+async def test_a_turn_takes_few_timers():
+    """Guards against a loop of timers that are too short to wait."""
+    pacer = linkpacer.LinkPacer(5.5)
+    grants, grant = [], pacer._grant
+    pacer._grant = lambda: (grants.append(1), grant())
+    pieces = [piece async for piece in pacer.pieces(bytes(163_840))]
+    assert len(pieces) == 20
+    assert len(grants) < 4 * len(pieces)
+
+
+async def test_an_unknown_link_leaves_answers_whole():
+    """Guards against costs where no rate of a link is set."""
+    answer = messages.AnswerOpen(body=bytes(200_000), last=True)
+    assert linkpacer.LinkPacer(0.0).response(answer) == (answer, None)
+
+
 async def test_short_answers_stay_one_message():
     """Guards against costs of short answers, and on unknown links."""
     pacer = linkpacer.LinkPacer(0.0)
