--- a/rattangauge/sidecar/quotas.py
+++ b/rattangauge/sidecar/quotas.py
@@ -1,6 +1,7 @@
 """Keeps the tenants' requests over all daemons within their rates."""
 
 import asyncio
+import itertools
 import math
 import time
 
@@ -19,6 +20,8 @@
 
 # Time within which the home of a tenant must answer.
 ASK_TIMEOUT_S = 0.25
+# Answers of the home that a request waits for.
+MAX_WAITS = 3
 # A home that did not answer is not asked for this time.
 UNREACHABLE_S = 1.0
 # A zone counts as cut off if no message came from it for this time.
@@ -72,11 +75,15 @@
         self._buckets: dict[str, quota.Bucket] = {}
         self._rankings: dict[str, list[str]] = {}
         self._ranked_revision = -1
+        # Addresses that may be homes, and those of them that are out of reach.
+        self._addresses: list[str] = []
+        self._unreachable: list[str] = []
         self._unreachable_until: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._reach_share = 1.0
         self._reach_until = -math.inf
-        self._started_at = time.monotonic()
+        # Last time at which another daemon may have become a home.
+        self._changed_at = time.monotonic()
         self._tasks = futures.Tasks()
 
     def apply(self, table: tenants.TenantTable) -> None:
@@ -103,23 +110,31 @@
         if tenant.name not in self._limits:
             return 0.0
         use = self._uses.setdefault(tenant.name, _TenantUse())
-        now = time.monotonic()
-        use.demand.add(now)
-        if use.lease.take(now):
-            return 0.0
-        if use.lease.hold_s(now) > 0.0:
-            return max(quota.MIN_HOLD_S, use.lease.hold_s(now))
-        await self._wait_for_answer(tenant.name, use)
+        use.demand.add(time.monotonic())
+        for _ in range(MAX_WAITS):
+            now = time.monotonic()
+            if use.lease.take(now):
+                return 0.0
+            if use.lease.hold_s(now) > 0.0:
+                break
+            # The answer under way may be to an ask of before this request.
+            await self._wait_for_answer(tenant.name, use)
         now = time.monotonic()
         if use.lease.take(now):
             return 0.0
         return max(quota.MIN_HOLD_S, use.lease.hold_s(now))
 
-    def restore(self, tenant: generated.Tenant) -> None:
-        """Gives back the token of a request that did not run."""
+    def restore(self, tenant: generated.Tenant, taken_at: float) -> None:
+        """Gives back the token of a request that did not run.
+
+        Args:
+            tenant: Tenant of the request.
+            taken_at: Time at which the request was received, on the clock of
+                ``time.monotonic``, in seconds.
+        """
         use = self._uses.get(tenant.name)
         if use is not None:
-            use.lease.restore(time.monotonic())
+            use.lease.restore(taken_at, time.monotonic())
 
     async def serve(
         self, stream: connection_pool.Stream, request: messages.QuotaRequest
@@ -169,19 +184,21 @@
         """
         own = self._peers.own.member.mesh
         now = time.monotonic()
-        reachable = [
+        reachable = (
             address
             for address in self._ranking(name)
             if self._unreachable_until.get(address, 0.0) <= now
-        ]
-        for address in reachable[:2]:
+        )
+        for address in itertools.islice(reachable, 2):
             if address == own:
                 return self._grant(name, ask)
             try:
                 return await self._request(address, name, ask)
             except errors.CodedError as error:
-                until = time.monotonic() + UNREACHABLE_S
+                now = time.monotonic()
+                until = now + UNREACHABLE_S
                 self._unreachable_until[address] = until
+                self._changed_at = now
                 loguru.logger.debug(
                     "no tokens of {} from {}: {}", name, address, error
                 )
@@ -203,7 +220,8 @@
         self._record_heard(address)
         if not isinstance(reply, messages.QuotaGrant):
             return quota.Grant(0, quota.MIN_HOLD_S)
-        return quota.Grant(reply.tokens, reply.hold_ms / 1000)
+        hold_s = min(quota.MAX_HOLD_S, reply.hold_ms / 1000)
+        return quota.Grant(reply.tokens, hold_s)
 
     def _grant(self, name: str, ask: quota.Ask) -> quota.Grant:
         """Gives tokens of this daemon, as home, deputy or for itself."""
@@ -214,7 +232,7 @@
         limit = self._limit(name)
         bucket = self._buckets.get(name)
         if bucket is None:
-            age_s = now - self._started_at
+            age_s = now - self._changed_at
             bucket = self._buckets[name] = quota.Bucket(limit, now, age_s)
         bucket.set_limit(limit, now)
         return bucket.grant(ask, now)
@@ -266,17 +284,33 @@
         """Returns the addresses of all daemons, the tenant's home first."""
         if self._ranked_revision != self._peers.revision:
             self._ranked_revision = self._peers.revision
-            self._rankings.clear()
+            self._follow_peers()
         ranked = self._rankings.get(name)
         if ranked is None:
-            addresses = [
-                peer.member.mesh
-                for peer in self._peers
-                if peer.member.state != _LEFT
-            ]
-            ranked = self._rankings[name] = quota.ranking(name, addresses)
+            ranked = quota.ranking(name, self._addresses)
+            self._rankings[name] = ranked
         return ranked
 
+    def _follow_peers(self) -> None:
+        """Forgets what depends on the daemons, if others are there now.
+
+        Most changes of the peers concern their upstreams alone.
+        """
+        present = [p for p in self._peers if p.member.state != _LEFT]
+        addresses = [peer.member.mesh for peer in present]
+        unreachable = [peer.member.mesh for peer in present if peer.failures]
+        if addresses != self._addresses:
+            self._rankings.clear()
+            known = self._unreachable_until.keys() & set(addresses)
+            self._unreachable_until = {
+                address: self._unreachable_until[address] for address in known
+            }
+        is_first = not self._addresses
+        if (addresses, unreachable) != (self._addresses, self._unreachable):
+            self._addresses, self._unreachable = addresses, unreachable
+            if not is_first:
+                self._changed_at = time.monotonic()
+
     def _record_hold(
         self, name: str, ask: quota.Ask, grant: quota.Grant
     ) -> None:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -1,14 +1,21 @@
 """Keys of tenants, from the configuration to the upstream."""
 
+import functools
+
+import anyio
 import pytest
+from rattangauge_platform import configuration
 
+from rattangauge import errors
 from rattangauge.calls import identity
 from rattangauge.config import check
 from rattangauge.config import delta
+from rattangauge.config import objects as objects_module
 from rattangauge.config import tenants
 from rattangauge.generated import errorcodes
 from rattangauge.generated import objects as generated
 from standins import appworker
+from standins import configurations
 from tests import builders
 from tests import meshes
 
@@ -77,6 +84,39 @@
     assert "secret-1" not in str(finding)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"name": "choir", "api-keys": "secret"},
+        {"name": "choir", "api-keys": {"secret": 1}},
+        {"name": "choir", "api-keys": [["secret"]]},
+        {"name": "choir", "api-keys": [73523]},
+        {"name": "choir", "api-keys": ["secret "]},
+        {"name": "", "api-keys": ["secret"]},
+        {"name": "choir\r\nhost: x", "api-keys": ["secret"]},
+        {"name": "choir\ud800", "api-keys": ["secret"]},
+    ],
+)
+def test_a_wrong_tenant_is_refused_without_its_key(fields):
+    """Guards against keys of one letter, and against keys in errors.
+
+    The name of a tenant becomes a header of the requests of its callers.
+    """
+    spec = configurations.configuration(1, [TRACK], ("skladby",))
+    with pytest.raises(errors.CodedError) as raised:
+        configuration.Converter().convert(spec | {"tenants": [fields]})
+    assert "secret" not in str(raised.value)
+    assert "73523" not in str(raised.value)
+
+
+def test_findings_of_published_tenants_show_no_key():
+    """Guards against keys in the findings of a daemon or an operator."""
+    table = {"name": "choir", "keys": ["secret", 1]}
+    (finding,) = objects_module.read_tables({"tenant": [table]}, "f").findings
+    assert finding.field == "keys"
+    assert "secret" not in str(finding)
+
+
 def test_one_key_of_many_arrives_as_a_difference():
     """Guards against a table of 10,000 keys that is sent as a whole."""
     many = [
@@ -107,6 +147,30 @@
             assert b"k1" not in instance.log_bytes
 
 
+async def test_no_spelling_of_a_header_passes_a_key_or_a_tenant():
+    """Guards against upstreams that take '_' and '-' in names as the same."""
+    lines = (
+        b"GET /track/1 HTTP/1.1",
+        b"host: " + meshes.HOST.encode(),
+        b"AUTHORIZATION: Bearer k1",
+        b"Authorization: Bearer k3",
+        b"Proxy-Authorization: Bearer k1",
+        b"Tenant_Id: school",
+        b"TENANT-ID: school",
+        b"connection: tenant-id",
+    )
+    async with meshes.running() as mesh:
+        await _start(mesh, "a")
+        caller = await mesh.connect("a")
+        await caller._stream.send(b"\r\n".join((*lines, b"", b"")))
+        await _wait_until_running(mesh, 1)
+        (request,) = _arrived(mesh)
+        assert not [v for _name, v in request.headers if b"Bearer" in v]
+        names = [n.replace(b"_", b"-") for n, _value in request.headers]
+        assert names.count(b"tenant-id") == 1
+        assert request.header(b"tenant-id") == b"choir"
+
+
 async def test_unknown_and_missing_keys_get_401():
     """Guards against requests that run without a key."""
     async with meshes.running() as mesh:
@@ -141,6 +205,39 @@
         assert _arrived(mesh)[-1].header(b"tenant-id") == b"school"
 
 
+async def _wait_until_running(mesh, count):
+    async def is_running():
+        return len(_arrived(mesh)) >= count
+
+    await mesh.wait(is_running)
+
+
+async def test_a_key_goes_before_the_id_of_a_running_request():
+    """Guards against callers that take the place of another's upstream."""
+    async with meshes.running() as mesh:
+        await _start(mesh, "a")
+
+        async def work(request):
+            await anyio.sleep(0.3)
+            return appworker.sealed(request)
+
+        mesh.instances["a"].upstream.behaviour = work
+        async with anyio.create_task_group() as tasks:
+            for name in ("", "first"):
+                sent = {"authorization": "Bearer k1", "request_id": name}
+                tasks.start_soon(
+                    functools.partial(mesh.call, "a", "/track/1", **sent)
+                )
+            await _wait_until_running(mesh, 2)
+            # A request without an id is the parent of no other.
+            assert (await mesh.call("a", "/track/2"))[0] == 401
+            revoked = {"authorization": "Bearer k9", "request_id": "first.1"}
+            assert (await mesh.call("a", "/track/2", **revoked))[0] == 401
+            school = revoked | {"authorization": "Bearer k3"}
+            assert (await mesh.call("a", "/track/2", **school))[0] == 200
+        assert _arrived(mesh)[-1].header(b"tenant-id") == b"school"
+
+
 async def test_revoked_and_added_keys_bind_with_the_version():
     """Guards against a revoked key that runs on."""
     async with meshes.running() as mesh:
