Count short messages on the link and refuse answers it has no room for

Change: the schedule of the link counts each message to another daemon; the daemon beside the upstream refuses a call whose answer would wait on the link longer than a call may wait for a slot, and reports what running calls will send. The mean sizes of answers are kept by one module for both daemons of a call.

--- a/rattangauge/calls/transfer_schedule.py
+++ b/rattangauge/calls/transfer_schedule.py
@@ -15,7 +15,8 @@
 
 # Bytes that are handed to the network at a time.
 PIECE_BYTES = 8192
-# Share of the link that large transfers may take; short messages need the rest.
+# Share of the link's rate that messages may take. The network adds to each of
+# them, and messages of other programs of the instance use the link, too.
 LINK_SHARE = 0.9
 # Time for which the network may hold bytes that it has not sent, in seconds.
 MAX_AHEAD_S = 0.005
@@ -49,9 +50,22 @@
 
     def backlog_s(self, now: float) -> float:
         """Returns the time that the link needs for all transfers."""
-        waiting_s = self.waiting_bytes / self._bytes_per_s
+        waiting_s = self.duration_s(self.waiting_bytes)
         return max(0.0, self._free_at - now) + waiting_s
 
+    def duration_s(self, size: int) -> float:
+        """Returns the time that the link takes for a number of bytes."""
+        return size / self._bytes_per_s
+
+    def record_sent(self, size: int, now: float) -> None:
+        """Counts a message that was sent without a turn.
+
+        Args:
+            size: Its size, in bytes.
+            now: Time.
+        """
+        self._free_at = max(now, self._free_at) + self.duration_s(size)
+
     def request(self, number: int, left_bytes: int, began_at: float) -> None:
         """Requests a turn for the next piece of a transfer.
 
@@ -61,7 +75,7 @@
             began_at: Time at which the transfer began.
         """
         self._left_bytes[number] = left_bytes
-        left_s = left_bytes / self._bytes_per_s
+        left_s = self.duration_s(left_bytes)
         self._ranks[number] = left_s + AGE_WEIGHT * began_at
 
     def withdraw(self, number: int) -> None:
@@ -85,6 +99,5 @@
         number = min(self._ranks, key=self._ranks.__getitem__)
         size = min(PIECE_BYTES, self._left_bytes[number])
         self.withdraw(number)
-        begin = max(now, self._free_at)
-        self._free_at = begin + size / self._bytes_per_s
+        self.record_sent(size, now)
         return number, size
--- a/rattangauge/membership/heartbeats.py
+++ b/rattangauge/membership/heartbeats.py
@@ -167,6 +167,25 @@
     return known._replace(is_leaving=True)
 
 
+def process_of(upstream: Upstream) -> tuple[str, int, util.Address]:
+    """Returns what identifies the process of an upstream."""
+    heartbeat = upstream.heartbeat
+    return heartbeat.instance, heartbeat.started_ms, heartbeat.address
+
+
+def reported_properties(upstream: Upstream | None) -> object:
+    """Returns the properties of an upstream whose changes peers must learn."""
+    if upstream is None:
+        return None
+    heartbeat = upstream.heartbeat
+    return (
+        process_of(upstream),
+        heartbeat.service,
+        heartbeat.slots,
+        upstream.is_leaving,
+    )
+
+
 class UpstreamRecord:
     """What the announcements of the upstream say, in any order of arrival."""
 
--- a/rattangauge/net/connection_monitor.py
+++ b/rattangauge/net/connection_monitor.py
@@ -1,5 +1,6 @@
 """Checks the connections between daemons for lost and idle ones."""
 
+from collections.abc import Callable
 import heapq
 import itertools
 import time
@@ -8,7 +9,9 @@
 import anyio
 
 from rattangauge import futures
+from rattangauge import metrics
 from rattangauge import supervision
+from rattangauge.generated import messages
 
 # Checks of a connection that is in use within the setting ``silence_s``.
 CHECKS_PER_SILENCE = 8
@@ -19,6 +22,10 @@
 _LOOP = supervision.Loop("connection monitor")
 
 
+# Records a message that was sent and its size in bytes.
+RecordSent = Callable[[messages.Message, int], None]
+
+
 class MonitoredConnection(Protocol):
     """Operations of a connection that the monitor uses."""
 
@@ -60,6 +67,8 @@
     Attributes:
         silence_s: Seconds after which a connection on which no expected byte
             arrives counts as lost.
+        record_sent: Called with each message that is sent and its size in
+            bytes.
         tasks: Tasks that handle the streams opened by other daemons.
     """
 
@@ -67,14 +76,17 @@
         self,
         silence_s: float,
         record: supervision.Record = supervision.log_failure,
+        record_sent: RecordSent = metrics.observe_sent,
     ) -> None:
         """Creates a monitor without connections.
 
         Args:
             silence_s: See the class.
             record: Records unexpected errors of the checks.
+            record_sent: See the class.
         """
         self.silence_s = silence_s
+        self.record_sent = record_sent
         self._record = record
         self.tasks = futures.Tasks()
         self._connections: set[MonitoredConnection] = set()
--- a/rattangauge/net/connection_pool.py
+++ b/rattangauge/net/connection_pool.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from rattangauge import errors
+from rattangauge import metrics
 from rattangauge import settings as settings_module
 from rattangauge import supervision
 from rattangauge import util
@@ -59,6 +60,7 @@
         settings: settings_module.Settings,
         tasks: anyio.abc.TaskGroup,
         record: supervision.Record = supervision.log_failure,
+        record_sent: connection_monitor.RecordSent = metrics.observe_sent,
     ) -> None:
         """Creates the pool and starts the keepalive check in the task group.
 
@@ -66,10 +68,12 @@
             settings: Settings of the daemon.
             tasks: Task group that runs the check.
             record: Records its unexpected errors.
+            record_sent: Called with each message that is sent and its size in
+                bytes.
         """
         self._settings = settings
         self._monitor = connection_monitor.ConnectionMonitor(
-            settings.mesh.silence_s, record
+            settings.mesh.silence_s, record, record_sent
         )
         tasks.start_soon(self._monitor.run)
         self._connections: dict[tuple[str, str], Connection] = {}
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -16,7 +16,6 @@
 
 from rattangauge import errors
 from rattangauge import futures
-from rattangauge import metrics
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.http import pacing
@@ -246,7 +245,7 @@
             stream.update_patience(message)
         self._transport.write(frame)
         self._pings.record_sent(len(frame))
-        metrics.observe_sent(message, len(frame))
+        self._monitor.record_sent(message, len(frame))
 
     def _pack_frame(
         self, stream: streams.Stream | None, message: messages.Message
--- a/rattangauge/net/meshserver.py
+++ b/rattangauge/net/meshserver.py
@@ -6,6 +6,7 @@
 import anyio
 import loguru
 
+from rattangauge import metrics
 from rattangauge import settings as settings_module
 from rattangauge import supervision
 from rattangauge import util
@@ -30,6 +31,7 @@
         handler: connections.Handler,
         silence_s: float,
         record: supervision.Record = supervision.log_failure,
+        record_sent: connection_monitor.RecordSent = metrics.observe_sent,
     ) -> None:
         """Creates a server; ``serve`` starts it.
 
@@ -38,9 +40,13 @@
             silence_s: Seconds without an expected byte after which a connection
                 counts as lost.
             record: Records unexpected errors of the checks of connections.
+            record_sent: Called with each message that is sent and its size in
+                bytes.
         """
         self._handler = handler
-        self._monitor = connection_monitor.ConnectionMonitor(silence_s, record)
+        self._monitor = connection_monitor.ConnectionMonitor(
+            silence_s, record, record_sent
+        )
         self._acceptor = acceptor.Acceptor(self._make_connection)
 
     async def serve(self, listener: socket.socket) -> None:
--- a/rattangauge/sidecar/linkpacer.py
+++ b/rattangauge/sidecar/linkpacer.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
+import contextlib
 import itertools
 import math
 import time
+from typing import NamedTuple
 
 from rattangauge.calls import exchange
 from rattangauge.calls import transfer_schedule
@@ -17,6 +20,23 @@
 MIN_TIMER_S = 0.001
 
 
+class Transfer(NamedTuple):
+    """An expected large answer to another daemon.
+
+    Attributes:
+        size: Its size, in bytes.
+        wait_s: Time that the link needs for the answers before it, in seconds.
+        send_s: Time that the link needs for it, in seconds.
+    """
+
+    size: int
+    wait_s: float
+    send_s: float
+
+
+NO_TRANSFER = Transfer(0, 0.0, 0.0)
+
+
 class LinkPacer:
     """The network link of the instance and the answers that wait for it."""
 
@@ -30,6 +50,7 @@
         rate = link_mbps * BYTES_PER_S_PER_MBPS or math.inf
         self._is_paced = rate < math.inf
         self._schedule = transfer_schedule.TransferSchedule(rate)
+        self._expected_bytes = 0
         self._numbers = itertools.count()
         # Futures of the transfers that wait for their turn; the result is the
         # size of the next piece.
@@ -38,8 +59,44 @@
 
     @property
     def backlog_s(self) -> float:
-        """Time that the link needs for the answers that wait, in seconds."""
-        return self._schedule.backlog_s(time.monotonic())
+        """Time that the link needs for the answers that wait, in seconds.
+
+        Those that are expected of running calls count as well.
+        """
+        expected_s = self._schedule.duration_s(self._expected_bytes)
+        return self._schedule.backlog_s(time.monotonic()) + expected_s
+
+    @contextlib.contextmanager
+    def expect(self, size: int) -> Iterator[None]:
+        """Counts an answer that a running call will have.
+
+        Args:
+            size: Its expected size, in bytes.
+        """
+        self._expected_bytes += size
+        try:
+            yield
+        finally:
+            self._expected_bytes -= size
+
+    def record_sent(self, message: messages.Message, size: int) -> None:
+        """Counts a message to another daemon; pieces were counted before.
+
+        Args:
+            message: The message.
+            size: Its size on the link, in bytes.
+        """
+        if self._is_paced and not isinstance(message, messages.AnswerData):
+            self._schedule.record_sent(size, time.monotonic())
+
+    def plan(self, size: int) -> Transfer:
+        """Returns what an answer of an expected size needs, in bytes.
+
+        Short answers wait for no others.
+        """
+        if size < LARGE_ANSWER_BYTES:
+            return NO_TRANSFER
+        return Transfer(size, self.backlog_s, self._schedule.duration_s(size))
 
     def response(self, answer: messages.AnswerOpen) -> exchange.Response:
         """Returns an answer as a response, whose large body comes in pieces."""
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -14,7 +14,7 @@
 from rattangauge import futures
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
-from rattangauge import util
+from rattangauge.calls import answer_sizes
 from rattangauge.calls import call_queue
 from rattangauge.calls import exchange
 from rattangauge.generated import errorcodes
@@ -44,6 +44,7 @@
         settings: settings_module.Settings,
         header_names: headernames.HeaderNames,
         memory: receivememory.ReceiveMemory,
+        link_pacer: linkpacer.LinkPacer,
         log: decisionlog.DecisionLog,
     ) -> None:
         """Creates the state before the first heartbeat of an upstream.
@@ -52,12 +53,14 @@
             settings: Settings of the daemon.
             header_names: Names of the HTTP headers of the platform.
             memory: Memory of all messages that have been received in part.
+            link_pacer: Network link that answers to other daemons take.
             log: Log of decisions.
         """
         self._receive_budget = receivebudget.ReceiveBudget(
             settings.instance.link_mbps
         )
-        self._link_pacer = linkpacer.LinkPacer(settings.instance.link_mbps)
+        self._link_pacer = link_pacer
+        self._answer_sizes = answer_sizes.AnswerSizes()
         self._receptions = bodyreceptions.BodyReceptions(settings.instance)
         self._header_names = header_names
         self._memory = memory
@@ -153,11 +156,15 @@
         if current is None or current is previous:
             return
         heartbeat = current.heartbeat
-        if _reported_properties(previous) != _reported_properties(current):
+        if heartbeats.reported_properties(
+            previous
+        ) != heartbeats.reported_properties(current):
             self._record_change(heartbeat)
             self._reported_change.set()
             self._reported_change = anyio.Event()
-        is_new = previous is None or _process(previous) != _process(current)
+        is_new = previous is None or heartbeats.process_of(
+            previous
+        ) != heartbeats.process_of(current)
         if is_new:
             self._reset_queue(heartbeat)
         self._queue.set_slots(heartbeat.slots)
@@ -208,11 +215,23 @@
         self, request: exchange.Request, respond: exchange.Respond
     ) -> None:
         """Runs a call of another daemon on the upstream; see ``execute``."""
-        await respond(self._link_pacer.response(await self.execute(request)))
+        route = request.open.route
+        transfer = self._link_pacer.plan(self._answer_sizes.expected(route))
+        answer = await self.execute(request, transfer)
+        self._answer_sizes.add(route, len(answer.body))
+        await respond(self._link_pacer.response(answer))
 
-    async def execute(self, request: exchange.Request) -> messages.AnswerOpen:
+    async def execute(
+        self,
+        request: exchange.Request,
+        transfer: linkpacer.Transfer = linkpacer.NO_TRANSFER,
+    ) -> messages.AnswerOpen:
         """Runs a call on the upstream and returns the complete answer.
 
+        Args:
+            request: The call.
+            transfer: What the network link needs for a large answer.
+
         Raises:
             exchange.CallFailed: The call was refused or failed, or no complete
                 answer was received.
@@ -224,7 +243,7 @@
         if upstream.heartbeat.service != call_open.service:
             text = f"the upstream does not run {call_open.service}"
             raise self._refuse(request, text)
-        waiter = self._make_waiter(request)
+        waiter = self._make_waiter(request, transfer)
         request_id = self._request_id(request)
         enqueued_at = started_at = received_at = time.monotonic()
         status = 0
@@ -236,7 +255,8 @@
             self._running_tenants[request_id] = call_open.tenant
             self._memory.pin(len(request.open.body))
             try:
-                answer = await self._exchange(client, upstream, request)
+                with self._link_pacer.expect(transfer.size):
+                    answer = await self._exchange(client, upstream, request)
             finally:
                 self._memory.unpin(len(request.open.body))
             status = answer.status
@@ -283,18 +303,34 @@
             raise exchange.not_run(errorcodes.CALL_DEADLINE, text) from error
         raise self._refuse(request, "the upstream takes no more calls")
 
-    def _make_waiter(self, request: exchange.Request) -> call_queue.QueuedCall:
+    def _make_waiter(
+        self, request: exchange.Request, transfer: linkpacer.Transfer
+    ) -> call_queue.QueuedCall:
+        """Returns a call for the queue, which leaves time for its transfer.
+
+        Raises:
+            exchange.CallFailed: Its answer would wait too long for the link.
+        """
         call_open = request.open
+        now = time.monotonic()
         target_s = call_open.target_ms / 1000
-        target_at = time.monotonic() + target_s if target_s else 0.0
-        return call_queue.QueuedCall(
+        target_at = now + target_s - transfer.send_s if target_s else 0.0
+        waiter = call_queue.QueuedCall(
             next(self._call_numbers),
             call_open.route,
             call_open.priority,
             call_open.returned,
             call_open.inner,
             target_at,
-            request.deadline,
+            request.deadline - transfer.send_s,
+        )
+        hold_s = self._queue.hold_s(waiter.kind)
+        longest_s = call_queue.max_wait_s(waiter, hold_s, now)
+        if transfer.wait_s > max(0.0, longest_s):
+            raise self._refuse(request, "the network link is busy for too long")
+        return waiter._replace(
+            target_at=waiter.target_at - transfer.wait_s,
+            deadline=waiter.deadline - transfer.wait_s,
         )
 
     async def _wait_for_slot(
@@ -441,7 +477,9 @@
             sent_at: Monotonic time of the request, in seconds.
         """
         current = self.upstream
-        if current is None or _process(current) != _process(upstream):
+        if current is None or heartbeats.process_of(
+            current
+        ) != heartbeats.process_of(upstream):
             return
         if response.status == upstreamhttp.WRONG_INSTANCE_STATUS:
             return
@@ -458,22 +496,3 @@
                 queued=self._queue.queued,
             )
         )
-
-
-def _process(upstream: heartbeats.Upstream) -> tuple[str, int, util.Address]:
-    """Returns what identifies the process of an upstream."""
-    heartbeat = upstream.heartbeat
-    return heartbeat.instance, heartbeat.started_ms, heartbeat.address
-
-
-def _reported_properties(upstream: heartbeats.Upstream | None) -> object:
-    """Returns the properties of an upstream whose changes peers must learn."""
-    if upstream is None:
-        return None
-    heartbeat = upstream.heartbeat
-    return (
-        _process(upstream),
-        heartbeat.service,
-        heartbeat.slots,
-        upstream.is_leaving,
-    )
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -11,6 +11,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import errors
+from rattangauge import metrics
 from rattangauge import process_signals
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
@@ -31,6 +32,7 @@
 from rattangauge.sidecar import configsync
 from rattangauge.sidecar import dispatch as dispatch_module
 from rattangauge.sidecar import headernames
+from rattangauge.sidecar import linkpacer
 from rattangauge.sidecar import localupstream
 from rattangauge.sidecar import peerexchange
 from rattangauge.sidecar import stores
@@ -87,13 +89,16 @@
         """
         self._settings = settings
         self._read_announcement = read_announcement
-        self._links = connection_pool.Links(settings, tasks, log.record)
+        self._link_pacer = linkpacer.LinkPacer(settings.instance.link_mbps)
+        self._links = connection_pool.Links(
+            settings, tasks, log.record, self._record_sent
+        )
         self._peers = peers_module.PeerTable(_own_member(settings))
         self._memory = receivememory.ReceiveMemory(
             int(settings.instance.memory_mb * BYTES_PER_MB)
         )
         self._local_upstream = localupstream.LocalUpstream(
-            settings, header_names, self._memory, log
+            settings, header_names, self._memory, self._link_pacer, log
         )
         self._dispatcher = dispatch_module.Dispatcher(
             settings,
@@ -131,7 +136,10 @@
         self._control_server = self._server(self._handle_announcement)
         self._operators_server = self._server(_handle_metrics)
         self._mesh_server = meshserver.MeshServer(
-            self._handle_message, settings.mesh.silence_s, log.record
+            self._handle_message,
+            settings.mesh.silence_s,
+            log.record,
+            self._record_sent,
         )
         self._log = log
         self._stopping = anyio.Event()
@@ -277,6 +285,11 @@
             )
         )
 
+    def _record_sent(self, message: messages.Message, size: int) -> None:
+        """Counts a message to another daemon, which takes time on the link."""
+        metrics.observe_sent(message, size)
+        self._link_pacer.record_sent(message, size)
+
     def _record_cut(self, cut: server_module.Cut) -> None:
         self._log.record(logevents.ConnectionCut(*cut))
 
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -4,6 +4,7 @@
 import time
 
 from rattangauge import settings as settings_module
+from rattangauge.calls import answer_sizes
 from rattangauge.calls import call_queue
 from rattangauge.calls import placement
 from rattangauge.membership import peers as peers_module
@@ -17,8 +18,6 @@
 # margin. The margin allows for calls that end after the report.
 MAX_DECISIVE_LOAD_AGE_S = 0.2
 REFUSAL_MARGIN = 1.5
-# Weight of a new measurement in the moving average of a route's answer size.
-ANSWER_SIZE_WEIGHT = 0.1
 # Estimated size of the head of a request or an answer.
 HEAD_BYTES = 300
 
@@ -40,7 +39,7 @@
         self._peers = peers
         self._call_log = call_log
         self._random = random
-        self._mean_answer_bytes: dict[str, float] = {}
+        self._answer_sizes = answer_sizes.AnswerSizes()
 
     def choose(
         self, call: incomingcall.IncomingCall, tried: set[str]
@@ -56,7 +55,7 @@
         """
         call_open = call.request.open
         now = time.monotonic()
-        answer_bytes = self._answer_bytes(call_open.route)
+        answer_bytes = self._answer_sizes.expected(call_open.route, HEAD_BYTES)
         size = HEAD_BYTES + len(call_open.body) + answer_bytes
         demand = placement.CallRequirements(size, call.target_at - now)
         local, remote = self._untried_peers(call_open.service, tried)
@@ -111,15 +110,8 @@
         )
 
     def record_answer_size(self, route: str, size: int) -> None:
-        """Adds a measurement to the moving average of a route, in bytes."""
-        before = self._mean_answer_bytes.get(route, float(size))
-        self._mean_answer_bytes[route] = before + ANSWER_SIZE_WEIGHT * (
-            size - before
-        )
-
-    def _answer_bytes(self, route: str) -> int:
-        """Returns the expected size of an answer of a route, in bytes."""
-        return int(self._mean_answer_bytes.get(route, HEAD_BYTES))
+        """Records the size of an answer of a route, in bytes."""
+        self._answer_sizes.add(route, size)
 
     def _is_own(self, peer: peers_module.Peer) -> bool:
         """Tells whether a peer is this daemon, whose answers need no link."""
@@ -149,7 +141,7 @@
         The candidate is unhealthy if its connection has an unanswered ping.
         """
         candidate = peer.candidate(self._settings.instance.zone, now, route)
-        answer_bytes = self._answer_bytes(route)
+        answer_bytes = self._answer_sizes.expected(route)
         if answer_bytes >= linkpacer.LARGE_ANSWER_BYTES and not self._is_own(
             peer
         ):
