--- a/rattangauge/calls/call_queue.py
+++ b/rattangauge/calls/call_queue.py
@@ -319,8 +319,10 @@
             return False
         if self.running < slot_reserve.max_long(self._slots):
             return True
-        urgent = self._recent.more_urgent(_urgency(waiter), now)
-        long_s = slot_reserve.long_hold_s([self.hold_s(k) for k in urgent])
+        urgent_s = self._recent.urgent_holds_s(
+            _urgency(waiter), self._slots, self.hold_s, now
+        )
+        long_s = slot_reserve.long_hold_s(urgent_s)
         if self.hold_s(waiter.kind) < long_s:
             return True
         running = self._running.values()
--- a/rattangauge/calls/slot_reserve.py
+++ b/rattangauge/calls/slot_reserve.py
@@ -6,6 +6,7 @@
 short urgent calls arrive, long calls may therefore not take the last slots.
 """
 
+from collections.abc import Callable
 import math
 from typing import NamedTuple
 
@@ -14,30 +15,40 @@
 # A call is long if it is expected to hold a slot for this multiple of the time
 # of an urgent one.
 LONG_FACTOR = 8.0
-# Urgent calls are expected for this time after the last one arrived.
-URGENT_MEMORY_S = 1.0
+# Slots are reserved for urgent calls that keep at least this share of the slots
+# busy.
+MIN_URGENT_SHARE = 0.01
+# Time constant of the rate of arrivals, in seconds.
+RATE_MEMORY_S = 1.0
 # Kinds of calls that are remembered; older ones are forgotten first.
 MAX_KINDS = 256
 
 
-class _Arrival(NamedTuple):
-    """Last arrival of one kind of calls.
+class _Arrivals(NamedTuple):
+    """Arrivals of one kind of calls.
 
     Attributes:
-        at: Its time, in seconds.
-        urgency: Urgency of the call; a higher one goes first.
+        at: Time of the last one, in seconds.
+        count: Number of arrivals, which decays with ``RATE_MEMORY_S``.
+        urgency: Urgency of the last one; a higher one goes first.
     """
 
     at: float
+    count: float
     urgency: tuple[bool, int]
 
+    def rate_per_s(self, now: float) -> float:
+        """Returns the arrivals a second."""
+        age_s = max(0.0, now - self.at)
+        return self.count * math.exp(-age_s / RATE_MEMORY_S) / RATE_MEMORY_S
+
 
 class RecentArrivals:
-    """Kinds of calls that arrived lately, and how urgent they were."""
+    """Kinds of calls that arrived lately, how often and how urgent."""
 
     def __init__(self) -> None:
         """Starts without arrivals."""
-        self._arrivals: dict[str, _Arrival] = {}
+        self._arrivals: dict[str, _Arrivals] = {}
 
     def add(self, kind: str, urgency: tuple[bool, int], now: float) -> None:
         """Records the arrival of a call.
@@ -47,21 +58,36 @@
             urgency: Whether an upstream waits for it, and its priority.
             now: Time in seconds.
         """
-        self._arrivals.pop(kind, None)
-        self._arrivals[kind] = _Arrival(now, urgency)
+        before = self._arrivals.pop(kind, None)
+        count = before.rate_per_s(now) * RATE_MEMORY_S if before else 0.0
+        self._arrivals[kind] = _Arrivals(now, count + 1.0, urgency)
         if len(self._arrivals) > MAX_KINDS:
             del self._arrivals[next(iter(self._arrivals))]
 
-    def more_urgent(
-        self, urgency: tuple[bool, int], now: float
-    ) -> tuple[str, ...]:
-        """Returns the kinds of more urgent calls that arrived lately."""
-        since = now - URGENT_MEMORY_S
-        return tuple(
-            kind
-            for kind, arrival in self._arrivals.items()
-            if arrival.at >= since and arrival.urgency > urgency
-        )
+    def urgent_holds_s(
+        self,
+        urgency: tuple[bool, int],
+        slots: int,
+        hold_s: Callable[[str], float],
+        now: float,
+    ) -> list[float]:
+        """Returns the hold times of the kinds for which slots are reserved.
+
+        Args:
+            urgency: Urgency of a call; only more urgent kinds count.
+            slots: Slots of the upstream.
+            hold_s: Returns the hold time of a kind, in seconds.
+            now: Time in seconds.
+        """
+        holds = []
+        for kind, arrivals in self._arrivals.items():
+            if arrivals.urgency <= urgency:
+                continue
+            # By Little's law this is the number of slots that they keep busy.
+            busy = arrivals.rate_per_s(now) * hold_s(kind)
+            if busy >= MIN_URGENT_SHARE * slots:
+                holds.append(hold_s(kind))
+        return holds
 
 
 def long_hold_s(urgent_holds_s: list[float]) -> float:
--- a/rattangauge/calls/transfer_schedule.py
+++ b/rattangauge/calls/transfer_schedule.py
@@ -23,6 +23,31 @@
 # Time on the link that makes up for a second since the transfer began.
 AGE_WEIGHT = 0.25
 
+# Longest time that an answer may wait for the link, as a share of the time that
+# is left to its target latency; once that has passed, of the time to its
+# deadline. What exceeds it would only delay the answers behind it.
+TARGET_WAIT_SHARE = 0.8
+LATE_WAIT_SHARE = 0.2
+
+
+def max_wait_s(target_left_s: float, deadline_left_s: float) -> float:
+    """Returns the longest acceptable wait of an answer for the link.
+
+    Args:
+        target_left_s: Time to the target latency, less those for the call and
+            for sending its answer, in seconds; 0 or less if it is missed.
+        deadline_left_s: The same for the deadline.
+
+    Returns:
+        The time in seconds; 0 if the answer would come too late.
+
+    >>> max_wait_s(0.5, 1.0), max_wait_s(0.0, 1.0), max_wait_s(-1.0, -0.5)
+    (0.4, 0.2, 0.0)
+    """
+    if target_left_s > 0.0:
+        return TARGET_WAIT_SHARE * target_left_s
+    return LATE_WAIT_SHARE * max(0.0, deadline_left_s)
+
 
 class TransferSchedule:
     """Order of the pieces of large transfers.
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -17,6 +17,7 @@
 from rattangauge.calls import answer_sizes
 from rattangauge.calls import call_queue
 from rattangauge.calls import exchange
+from rattangauge.calls import transfer_schedule
 from rattangauge.generated import errorcodes
 from rattangauge.generated import logevents
 from rattangauge.generated import messages
@@ -324,14 +325,13 @@
             target_at,
             request.deadline - transfer.send_s,
         )
-        hold_s = self._queue.hold_s(waiter.kind)
-        longest_s = call_queue.max_wait_s(waiter, hold_s, now)
-        if transfer.wait_s > max(0.0, longest_s):
-            raise self._refuse(request, "the network link is busy for too long")
-        return waiter._replace(
-            target_at=waiter.target_at - transfer.wait_s,
-            deadline=waiter.deadline - transfer.wait_s,
+        busy_until = now + self._queue.hold_s(waiter.kind)
+        longest_s = transfer_schedule.max_wait_s(
+            waiter.target_at - busy_until, waiter.deadline - busy_until
         )
+        if transfer.size and transfer.wait_s > longest_s:
+            raise self._refuse(request, "the network link is busy for too long")
+        return waiter
 
     async def _wait_for_slot(
         self,
--- a/tests/test_linkpacer.py
+++ b/tests/test_linkpacer.py
@@ -8,6 +8,8 @@
 from rattangauge.calls import transfer_schedule
 from rattangauge.generated import messages
 from rattangauge.sidecar import linkpacer
+from standins import appworker
+from tests import meshes
 
 LINK_BYTES_PER_S = 687_500.0
 
@@ -138,3 +140,37 @@
     answer = messages.AnswerOpen(body=b"short", last=True)
     assert pacer.response(answer) == (answer, None)
     assert [p async for p in pacer.pieces(bytes(20_000))]
+
+
+def test_short_messages_leave_less_for_large_answers():
+    """Guards against a link that is given more than it carries."""
+    schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
+    now, given = 0.0, 0
+    while now < 5.0:
+        schedule.record_sent(3000, now)
+        schedule.request(1, 500_000, 0.0)
+        piece = schedule.take(now)
+        given += 3000 + (piece[1] if piece else 0)
+        now += 0.01
+    assert given < 5.0 * LINK_BYTES_PER_S
+
+
+async def test_a_call_whose_answer_the_link_cannot_send_in_time_is_refused():
+    """Guards against upstreams that work on answers nobody gets in time."""
+    path = meshes.path("/frame/", "skladby", **{"target-latency-s": 0.3})
+    async with meshes.running() as mesh:
+        await mesh.start_instances([path], "a", "b")
+
+        async def answer(request):
+            return appworker.sealed(request, bytes(100_000))
+
+        for instance in mesh.instances.values():
+            instance.upstream.behaviour = answer
+        mesh.instances["a"].node._local_upstream._queue.close()
+        assert (await mesh.call("a", "/frame/1"))[0] == 200
+        pacer = mesh.instances["b"].node._link_pacer
+        with pacer.expect(100_000_000):
+            status, headers, _body = await mesh.call("a", "/frame/1")
+        assert status == 503
+        assert float(headers[b"retry-after"]) > 0
+        assert len(mesh.instances["b"].upstream.arrived) == 1
--- a/tests/test_slot_reserve.py
+++ b/tests/test_slot_reserve.py
@@ -11,6 +11,8 @@
 
 SLOTS = 9
 LONG_S, SHORT_S = 1.2, 0.08
+# Time after which short calls count as having ceased.
+IDLE_S = 5.0
 
 
 def _long(number):
@@ -38,13 +40,23 @@
     return queue, now
 
 
+def _busy_queue():
+    """Returns the same queue after a second of short calls; none is left."""
+    queue, now = _measured_queue()
+    for number in range(100, 120):
+        queue.offer(_short(number), now)
+        now += 0.05
+        queue.finish(_short(number), SHORT_S, now)
+    return queue, now
+
+
 def _started(queue, waiters, now):
     return sum(len(queue.offer(waiter, now).started) for waiter in waiters)
 
 
 def test_long_calls_leave_slots_while_urgent_ones_arrive():
     """Guards against a short call that waits for long ones to end."""
-    queue, now = _measured_queue()
+    queue, now = _busy_queue()
     long_calls = [_long(n) for n in range(10, 30)]
     assert _started(queue, long_calls, now) == slot_reserve.max_long(SLOTS)
     assert len(queue.offer(_short(40), now).started) == 1
@@ -52,16 +64,22 @@
 
 def test_long_calls_take_all_slots_once_urgent_ones_cease():
     """Guards against slots that nobody uses."""
+    queue, now = _busy_queue()
+    now += IDLE_S
+    assert _started(queue, [_long(n) for n in range(10, 30)], now) == SLOTS
+
+
+def test_rare_urgent_calls_reserve_nothing():
+    """Guards against a check every second that costs a third of the slots."""
     queue, now = _measured_queue()
-    now += slot_reserve.URGENT_MEMORY_S + 0.1
     assert _started(queue, [_long(n) for n in range(10, 30)], now) == SLOTS
 
 
 def test_waiting_long_calls_start_when_the_reserve_is_not_needed_any_more():
     """Guards against a long call that is forgotten in the queue."""
-    queue, now = _measured_queue()
+    queue, now = _busy_queue()
     _started(queue, [_long(n) for n in range(10, 20)], now)
-    now += slot_reserve.URGENT_MEMORY_S + 0.1
+    now += IDLE_S
     assert len(queue.advance(now).started) == SLOTS - slot_reserve.max_long(
         SLOTS
     )
@@ -69,7 +87,7 @@
 
 def test_a_short_call_passes_waiting_long_ones():
     """Guards against reserved slots that stay empty behind long calls."""
-    queue, now = _measured_queue()
+    queue, now = _busy_queue()
     _started(queue, [_long(n) for n in range(10, 30)], now)
     assert queue.queued > 0
     ordinary = builders.waiter(
