Take no answer that HTTP/1 does not have, or that ends inside an upload

Cause: a status below 200 counted as an interim response, so that 000 was skipped and what followed on its connection became the answer; 600 to 999 and HTTP/2.0 were passed on; a response without a length was complete at a regular end even if its request had not been sent whole.

Change: the first line is checked (100 to 599, not 101, HTTP/1.x), by the client of the upstream, by the daemon that receives a forwarded answer, and by the client of the other daemon. A response that ends with the connection needs a request whose bytes the other machine has all confirmed; a connection with unconfirmed bytes is not used again.

--- a/rattangauge/http/client.py
+++ b/rattangauge/http/client.py
@@ -76,6 +76,19 @@
         # which may be before it calls connection_lost.
         return not self._has_ended and not self._transport.is_closing()
 
+    @property
+    def _is_sent(self) -> bool:
+        """Whether the upstream's machine has confirmed the whole request.
+
+        What the kernel has not sent yet, or the other side has not confirmed,
+        the upstream cannot have read. A response to a request that was read
+        whole confirms it.
+        """
+        if self._transport.get_write_buffer_size():
+            return False
+        transport_socket = self._transport.get_extra_info("socket")
+        return not util.unconfirmed_bytes(transport_socket.fileno())
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes, or the end, have arrived and were not read yet."""
@@ -115,10 +128,22 @@
         futures.wake(self._response_waiter)
 
     def eof_received(self) -> bool:
-        """Completes a response without a length, unless there was a reset."""
+        """Completes a response without a length.
+
+        After a reset, or before the whole request was sent, it is a part of a
+        response.
+        """
         self._has_ended = True
-        if self._reader is not None and not _was_reset(self._transport):
+        if self._reader is None or _was_reset(self._transport):
+            return False
+        if not self._is_sent:
+            reason = "the connection ended before the whole request was sent"
+            self._fail(parsing.MessageError(400, reason))
+            return False
+        try:
             self._reader.end()
+        except parsing.MessageError as error:
+            self._fail(error)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -172,8 +197,7 @@
         assert reader is not None
         self._memory.update(self, 0)
         has_more = reader.has_begun or bool(reader.responses)
-        is_sent = not self._transport.get_write_buffer_size()
-        return self.is_open and is_sent and not has_more
+        return self.is_open and not has_more and self._is_sent
 
 
 def _was_reset(transport: Any) -> bool:
--- a/rattangauge/http/parsing.py
+++ b/rattangauge/http/parsing.py
@@ -17,6 +17,10 @@
 HEADER_OVERHEAD_BYTES = 150
 # Memory of a complete message beside its headers and body.
 MESSAGE_OVERHEAD_BYTES = 500
+# Status codes that a response may have; those below 200 are interim.
+STATUS_CODES = range(100, 600)
+FINAL_STATUS_CODES = range(200, 600)
+SWITCHING_PROTOCOLS = 101
 # Complete responses that wait. An upstream sends one for each request, and a
 # faulty one any number.
 MAX_WAITING_RESPONSES = 16
@@ -347,6 +351,9 @@
         """Handles the regular end of the connection; a reset is not one.
 
         It completes a response without a length.
+
+        Raises:
+            MessageError: Too many responses wait.
         """
         names = [name for name, _value in self._headers]
         has_length = b"content-length" in names or b"transfer-encoding" in names
@@ -354,14 +361,27 @@
             self._add_response(False)
 
     def on_headers_complete(self) -> None:
-        """Checks the headers once they are complete."""
+        """Checks the first line and the headers once they are complete."""
         self._has_headers = True
+        self._check_first_line()
         if self._has_bodies:
             self._check_lengths()
         elif not self._is_complete:
             self._add_response(False)
             self._is_complete = bool(self.responses)
 
+    def _check_first_line(self) -> None:
+        """Rejects a response whose status or version HTTP/1 does not have.
+
+        No request asks for another protocol, so none may be switched to.
+        """
+        version = self._parser.get_http_version()
+        if not version.startswith("1."):
+            self._fail(400, f"its version is HTTP/{version}")
+        status = self._parser.get_status_code()
+        if status not in STATUS_CODES or status == SWITCHING_PROTOCOLS:
+            self._fail(400, f"its status is {status:03}")
+
     def on_body(self, data: bytes) -> None:
         """Adds a piece of the body."""
         if not self._is_complete:
@@ -376,7 +396,7 @@
         status = self._parser.get_status_code()
         if len(self.responses) >= MAX_WAITING_RESPONSES:
             self._fail(400, f"more than {MAX_WAITING_RESPONSES} came at once")
-        if status >= 200:  # 1xx: the final response follows
+        if status in FINAL_STATUS_CODES:
             response = messages.Response(
                 status,
                 tuple(self._headers),
--- a/rattangauge/net/forward.py
+++ b/rattangauge/net/forward.py
@@ -12,6 +12,7 @@
 from rattangauge.calls import exchange
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
+from rattangauge.http import parsing
 from rattangauge.net import answerparts
 from rattangauge.net import connection_pool
 
@@ -320,7 +321,8 @@
 
     Raises:
         exchange.CallFailed: The message is a failure, belongs to another call,
-            or is none that starts an answer.
+            is none that starts an answer, or has no status of a final
+            response.
     """
     if isinstance(message, messages.AnswerFailed):
         _check_call_id(message, call_id)
@@ -328,6 +330,9 @@
     if not isinstance(message, messages.AnswerOpen):
         raise _unexpected_message(message)
     _check_call_id(message, call_id)
+    if message.status not in parsing.FINAL_STATUS_CODES:
+        text = f"the other daemon answered with the status {message.status}"
+        raise exchange.unknown(text, errorcodes.CALL_UPSTREAM_FAILED)
     return message
 
 
--- a/rattangauge/net/upstream.py
+++ b/rattangauge/net/upstream.py
@@ -14,6 +14,7 @@
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.http import messages as http_messages
+from rattangauge.http import parsing
 from rattangauge.net import network_backend
 
 # An upstream that refused a call without running it sends this header with
@@ -235,6 +236,7 @@
             headers=_request_headers(request, self._address),
             content=content,
         ) as response:
+            _check_first_line(response)
             if _was_refused(response):
                 text = "the upstream refused the call"
                 failure = exchange.not_run(errorcodes.CALL_OVERLOADED, text)
@@ -264,6 +266,21 @@
             await respond(exchange.Response(head, chunks))
 
 
+def _check_first_line(response: httpcore.Response) -> None:
+    """Checks the version and the status of a response.
+
+    Raises:
+        exchange.CallFailed: HTTP/1 does not have them.
+    """
+    version = response.extensions["http_version"]
+    if not version.startswith(b"HTTP/1."):
+        text = f"the version of the response is {version!r}"
+        raise exchange.unknown(text, errorcodes.CALL_UPSTREAM_FAILED)
+    if response.status not in parsing.FINAL_STATUS_CODES:
+        text = f"the status of the response is {response.status}"
+        raise exchange.unknown(text, errorcodes.CALL_UPSTREAM_FAILED)
+
+
 def _remaining_allowance(
     request: exchange.Request, response: httpcore.Response
 ) -> int:
--- a/rattangauge/util.py
+++ b/rattangauge/util.py
@@ -1,10 +1,13 @@
 """Addresses, sockets, clocks and ASGI replies for several modules."""
 
 from collections.abc import Iterable
+import fcntl
 import hashlib
 import ipaddress
 import select
 import socket
+import sys
+import termios
 import time
 from typing import Any
 from typing import NamedTuple
@@ -135,6 +138,18 @@
     return bool(poll.poll(0))
 
 
+def unconfirmed_bytes(descriptor: int) -> int:
+    """Returns the sent bytes that the other side of a TCP socket lacks.
+
+    Args:
+        descriptor: File descriptor of the socket; negative if it is closed.
+    """
+    if descriptor < 0:
+        return 0
+    result = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+    return int.from_bytes(result, sys.byteorder)
+
+
 def now_ms() -> int:
     """Returns the wall-clock time in milliseconds since 1970."""
     return time.time_ns() // 1_000_000
