Bound the memory and the time of answers that leave for other daemons

Cause: a slot of the upstream was free as soon as it had answered, so answers to daemons that read slowly piled up: 488 MB of 300 with 500 calls of a peer that reads nothing; and the pieces of a large answer outlived the deadline of their call. Change: while such answers take half of the memory of messages in part, a call holds its slot until they have left or its deadline has passed; pieces end at the deadline.

--- a/rattangauge/net/forwardedcall.py
+++ b/rattangauge/net/forwardedcall.py
@@ -92,15 +92,14 @@
         remaining_s = max(0.0, deadline - time.monotonic())
         with anyio.move_on_after(remaining_s) as scope:
             await _send_answer(stream, response.open)
+            if response.body is not None:
+                async for piece in response.body:
+                    await stream.send_data(messages.AnswerData, piece, False)
+                await stream.send_data(messages.AnswerData, b"", True)
         if scope.cancelled_caught:
             loguru.logger.info(
                 "the answer to call {} was not read in time", opened.call_id
             )
-            return
-        if response.body is not None:
-            async for piece in response.body:
-                await stream.send_data(messages.AnswerData, piece, False)
-            await stream.send_data(messages.AnswerData, b"", True)
 
     async def run(body: AsyncIterator[bytes] | None) -> None:
         request = exchange.Request(opened, body, deadline)
--- a/rattangauge/sidecar/linkpacer.py
+++ b/rattangauge/sidecar/linkpacer.py
@@ -9,6 +9,8 @@
 import time
 from typing import NamedTuple
 
+from rattangauge import futures
+from rattangauge import receivememory
 from rattangauge.calls import exchange
 from rattangauge.calls import transfer_schedule
 from rattangauge.generated import messages
@@ -40,13 +42,20 @@
 class LinkPacer:
     """The network link of the instance and the answers that wait for it."""
 
-    def __init__(self, link_mbps: float) -> None:
+    def __init__(
+        self, link_mbps: float, memory: receivememory.ReceiveMemory
+    ) -> None:
         """Creates a pacer.
 
         Args:
             link_mbps: Rate of the instance's network link in Mbit/s; 0 if it is
                 unknown, which delays nothing.
+            memory: Memory of all messages that have been received in part;
+                answers that leave may take as much of it as one message.
         """
+        self._memory = memory
+        self._held_bytes = 0
+        self._room_waiters: set[asyncio.Future[None]] = set()
         rate = link_mbps * BYTES_PER_S_PER_MBPS or math.inf
         self._is_paced = rate < math.inf
         self._schedule = transfer_schedule.TransferSchedule(rate)
@@ -98,6 +107,42 @@
             return NO_TRANSFER
         return Transfer(size, self.backlog_s, self._schedule.duration_s(size))
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the answers that have not been sent completely."""
+        return self._held_bytes
+
+    async def wait_for_room(self, deadline: float) -> None:
+        """Waits while the answers that leave take too much memory.
+
+        Args:
+            deadline: Time on the clock of ``time.monotonic``, in seconds, after
+                which it does not wait.
+        """
+        while self._held_bytes >= self._memory.message_bytes:
+            waiter = asyncio.get_running_loop().create_future()
+            self._room_waiters.add(waiter)
+            try:
+                await futures.wait(waiter, deadline)
+            except TimeoutError:
+                return
+            finally:
+                self._room_waiters.discard(waiter)
+
+    @contextlib.contextmanager
+    def hold(self, answer: messages.AnswerOpen) -> Iterator[None]:
+        """Counts the memory of an answer while it is sent."""
+        size = len(answer.body)
+        self._held_bytes += size
+        self._memory.pin(size)
+        try:
+            yield
+        finally:
+            self._held_bytes -= size
+            self._memory.unpin(size)
+            for waiter in self._room_waiters:
+                futures.wake(waiter)
+
     def response(self, answer: messages.AnswerOpen) -> exchange.Response:
         """Returns an answer as a response, whose large body comes in pieces."""
         if not self._is_paced or len(answer.body) < LARGE_ANSWER_BYTES:
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import itertools
 import time
 
@@ -35,6 +37,15 @@
 MAX_QUEUED_PER_SLOT = 4
 # Shortest delay of a timer.
 MIN_TIMER_S = 0.001
+# Longest time of the network link in a load report.
+MAX_LINK_US = 2**32 - 1
+
+# Waits for room for an answer, until a deadline at most.
+_WaitForRoom = Callable[[float], Awaitable[None]]
+
+
+async def _no_wait(_deadline: float) -> None:
+    """Waits for nothing."""
 
 
 class LocalUpstream:
@@ -110,7 +121,7 @@
             limit=self._queue.concurrency,
             service_us=int(hold_s * 1e6),
             state=self.state,
-            link_us=int(self._link_pacer.backlog_s * 1e6),
+            link_us=min(MAX_LINK_US, int(self._link_pacer.backlog_s * 1e6)),
         )
 
     def _load_for(self, request: exchange.Request) -> messages.Load:
@@ -218,20 +229,25 @@
         """Runs a call of another daemon on the upstream; see ``execute``."""
         route = request.open.route
         transfer = self._link_pacer.plan(self._answer_sizes.expected(route))
-        answer = await self.execute(request, transfer)
+        wait_for_room = self._link_pacer.wait_for_room
+        answer = await self.execute(request, transfer, wait_for_room)
         self._answer_sizes.add(route, len(answer.body))
-        await respond(self._link_pacer.response(answer))
+        with self._link_pacer.hold(answer):
+            await respond(self._link_pacer.response(answer))
 
     async def execute(
         self,
         request: exchange.Request,
         transfer: linkpacer.Transfer = linkpacer.NO_TRANSFER,
+        wait_for_room: _WaitForRoom = _no_wait,
     ) -> messages.AnswerOpen:
         """Runs a call on the upstream and returns the complete answer.
 
         Args:
             request: The call.
             transfer: What the network link needs for a large answer.
+            wait_for_room: Waits until the deadline at most for room for the
+                answer; the call holds its slot meanwhile.
 
         Raises:
             exchange.CallFailed: The call was refused or failed, or no complete
@@ -261,6 +277,7 @@
             finally:
                 self._memory.unpin(len(request.open.body))
             status = answer.status
+            await wait_for_room(request.deadline)
         finally:
             self._running_tenants.pop(request_id, None)
             queue.withdraw(waiter)
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -89,14 +89,16 @@
         """
         self._settings = settings
         self._read_announcement = read_announcement
-        self._link_pacer = linkpacer.LinkPacer(settings.instance.link_mbps)
+        self._memory = receivememory.ReceiveMemory(
+            int(settings.instance.memory_mb * BYTES_PER_MB)
+        )
+        self._link_pacer = linkpacer.LinkPacer(
+            settings.instance.link_mbps, self._memory
+        )
         self._links = connection_pool.Links(
             settings, tasks, log.record, self._record_sent
         )
         self._peers = peers_module.PeerTable(_own_member(settings))
-        self._memory = receivememory.ReceiveMemory(
-            int(settings.instance.memory_mb * BYTES_PER_MB)
-        )
         self._local_upstream = localupstream.LocalUpstream(
             settings, header_names, self._memory, self._link_pacer, log
         )
--- a/tests/test_linkpacer.py
+++ b/tests/test_linkpacer.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from rattangauge import receivememory
 from rattangauge.calls import transfer_schedule
 from rattangauge.generated import messages
+from rattangauge.net import forwardedcall
 from rattangauge.sidecar import linkpacer
 from standins import appworker
 from tests import meshes
@@ -20,6 +22,11 @@
     return "asyncio", {"use_uvloop": True}
 
 
+def _pacer(link_mbps, memory_bytes=0):
+    memory = receivememory.ReceiveMemory(memory_bytes)
+    return linkpacer.LinkPacer(link_mbps, memory)
+
+
 def _drain(schedule, left, now):
     """Sends all transfers; returns the time at which each has ended."""
     ended = {}
@@ -95,7 +102,7 @@
 
 async def test_pieces_are_the_body_and_take_the_time_of_the_link():
     """Guards against lost pieces and against a burst on the link."""
-    pacer = linkpacer.LinkPacer(8.0)
+    pacer = _pacer(8.0)
     body = bytes(range(256)) * 400
     started_at = time.monotonic()
     received = b"".join([piece async for piece in pacer.pieces(body)])
@@ -105,7 +112,7 @@
 
 async def test_a_cancelled_transfer_frees_the_link():
     """Guards against a caller that left and still holds a share."""
-    pacer = linkpacer.LinkPacer(1.0)
+    pacer = _pacer(1.0)
 
     async def send(body):
         async for _piece in pacer.pieces(body):
@@ -120,7 +127,7 @@
 
 async def test_a_turn_takes_few_timers():
     """Guards against a loop of timers that are too short to wait."""
-    pacer = linkpacer.LinkPacer(5.5)
+    pacer = _pacer(5.5)
     grants, grant = [], pacer._grant
     pacer._grant = lambda: (grants.append(1), grant())
     pieces = [piece async for piece in pacer.pieces(bytes(163_840))]
@@ -131,12 +138,57 @@
 async def test_an_unknown_link_leaves_answers_whole():
     """Guards against costs where no rate of a link is set."""
     answer = messages.AnswerOpen(body=bytes(200_000), last=True)
-    assert linkpacer.LinkPacer(0.0).response(answer) == (answer, None)
+    assert _pacer(0.0).response(answer) == (answer, None)
+
+
+async def test_answers_that_leave_have_a_bounded_memory():
+    """Guards against upstreams that answer faster than the link carries."""
+    pacer = _pacer(1.0, memory_bytes=1)
+    with pacer.hold(messages.AnswerOpen(body=bytes(7_000_000))):
+        await pacer.wait_for_room(time.monotonic() + 60.0)
+        with pacer.hold(messages.AnswerOpen(body=bytes(2_000_000))):
+            began_at = time.monotonic()
+            await pacer.wait_for_room(began_at + 0.05)
+            assert time.monotonic() - began_at > 0.04
+            waits = asyncio.create_task(pacer.wait_for_room(began_at + 60.0))
+            await asyncio.sleep(0)
+            assert not waits.done()
+        await asyncio.wait_for(waits, 1.0)
+    assert pacer.held_bytes == 0
+
+
+class UnreadStream:
+    """Stream whose other end takes no body."""
+
+    def on_interrupt(self, _callback):
+        """Never calls the function."""
+
+    async def send(self, _message):
+        """Takes the head of an answer."""
+
+    async def send_data(self, _type, _body, _last):
+        """Waits for credit that never comes."""
+        await asyncio.sleep(60.0)
+
+
+async def test_an_answer_that_nobody_reads_ends_at_the_deadline():
+    """Guards against bodies that a peer keeps in memory without end."""
+    pacer = _pacer(5.5)
+
+    async def run(_request, respond):
+        answer = messages.AnswerOpen(body=bytes(100_000), last=True)
+        with pacer.hold(answer):
+            await respond(pacer.response(answer))
+
+    opened = messages.CallOpen(call_id="c1", deadline_ms=50, last=True)
+    serving = forwardedcall.serve(UnreadStream(), opened, run)
+    await asyncio.wait_for(serving, 1.0)
+    assert pacer.held_bytes == 0
 
 
 async def test_short_answers_stay_one_message():
     """Guards against costs of short answers, and on unknown links."""
-    pacer = linkpacer.LinkPacer(0.0)
+    pacer = _pacer(0.0)
     answer = messages.AnswerOpen(body=b"short", last=True)
     assert pacer.response(answer) == (answer, None)
     assert [p async for p in pacer.pieces(bytes(20_000))]
--- a/tests/test_process_review.py
+++ b/tests/test_process_review.py
@@ -28,11 +28,12 @@
 
 
 @contextlib.asynccontextmanager
-async def one_machine():
-    """Yields a machine whose daemon serves."""
+async def one_machine(**fields):
+    """Yields a machine whose daemon serves; fields are of its settings."""
     async with platformfleet.running() as fleet:
         fleet.publish(PATHS, SERVICES)
         machine = await fleet.add("a", "skladby")
+        machine.settings["instance"].update(fields)
         fleet.start("a")
         await fleet.wait_ready("a")
         await fleet.wait_served("a", "/track/1")
