Measure calls, waits and refusals of each tenant on the platform

Cause: the platform's daemon recorded no call, so no metric showed requests with 401 or 429, tokens of a home or answers that wait for the link. Change: latency and outcome of each request by service and tenant, wait and service time by tenant, tokens that a home gave or refused, bytes of answers that leave; the first 100 tenants have names. A rejection for a quota has its route and tenant in the log.

--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of the daemon."""
 
+import functools
+
 import prometheus_client
 
 from rattangauge.calls import exchange
@@ -7,11 +9,12 @@
 from rattangauge.generated import messages
 
 OTHER_TENANT = "other"
+# Outcome of a call that an upstream answered.
+ANSWERED = "answered"
 
-# Tenants that the daemon of an upstream counts by name; all further ones count
-# as OTHER_TENANT. This daemon does not know the policies that name the tenants
-# of its callers, and the number of time series must stay bounded.
-MAX_TENANTS = 64
+# Tenants that a daemon counts by name; all further ones count as OTHER_TENANT,
+# as the number of time series must stay bounded.
+MAX_TENANTS = 100
 
 _counted_tenants: set[str] = set()
 
@@ -43,6 +46,15 @@
     "Calls of the upstream: running, queued and the limit.",
     ("kind",),
 )
+QUOTA_TOKENS = prometheus_client.Counter(
+    "rattangauge_quota_tokens",
+    "Tokens that this daemon gave or refused as the home of tenants.",
+    ("result",),
+)
+LEAVING_BYTES = prometheus_client.Gauge(
+    "rattangauge_leaving_answer_bytes",
+    "Size of the answers that other daemons have not received completely.",
+)
 VERSION = prometheus_client.Gauge(
     "rattangauge_config_version", "Configuration version in force."
 )
@@ -68,6 +80,8 @@
 
 _CONTROL_SENT = CONTROL_BYTES.labels("sent")
 _CONTROL_RECEIVED = CONTROL_BYTES.labels("received")
+_TOKENS_GRANTED = QUOTA_TOKENS.labels("granted")
+_TOKENS_REFUSED = QUOTA_TOKENS.labels("refused")
 _CALL_MESSAGES = (
     messages.CallOpen,
     messages.CallData,
@@ -128,18 +142,61 @@
     return tenant
 
 
+@functools.cache
+def _call_histogram(
+    service: str, tenant: str, call_class: messages.CallClass, outcome: str
+) -> prometheus_client.Histogram:
+    """Returns the histogram of a tenant's calls; ``labels`` costs far more."""
+    labels = (service, tenant, call_class.name.lower(), outcome)
+    return CALL_SECONDS.labels(*labels)
+
+
+@functools.cache
+def _upstream_histogram(
+    metric: prometheus_client.Histogram,
+    tenant: str,
+    call_class: messages.CallClass,
+) -> prometheus_client.Histogram:
+    """Returns a histogram of a tenant's calls at the upstream."""
+    return metric.labels(tenant, call_class.name.lower())
+
+
+def observe_outcome(
+    opened: messages.CallOpen, outcome: str, seconds: float
+) -> None:
+    """Records the latency and the outcome of a caller's request.
+
+    Args:
+        opened: Head of the call; without service if none was made.
+        outcome: ``ANSWERED`` or the error code.
+        seconds: Time from the request to its response.
+    """
+    tenant = _tenant_label(opened.tenant)
+    _call_histogram(opened.service, tenant, opened.call_class, outcome).observe(
+        seconds
+    )
+
+
 def observe_queue(opened: messages.CallOpen, seconds: float) -> None:
     """Records the time in seconds that a call waited for a slot."""
-    call_class = opened.call_class.name.lower()
-    labels = (_tenant_label(opened.tenant), call_class)
-    QUEUE_SECONDS.labels(*labels).observe(seconds)
+    tenant = _tenant_label(opened.tenant)
+    _upstream_histogram(QUEUE_SECONDS, tenant, opened.call_class).observe(
+        seconds
+    )
 
 
 def observe_service(opened: messages.CallOpen, seconds: float) -> None:
     """Records the time in seconds in which the upstream answered."""
-    call_class = opened.call_class.name.lower()
-    labels = (_tenant_label(opened.tenant), call_class)
-    SERVICE_SECONDS.labels(*labels).observe(seconds)
+    tenant = _tenant_label(opened.tenant)
+    _upstream_histogram(SERVICE_SECONDS, tenant, opened.call_class).observe(
+        seconds
+    )
+
+
+def observe_tokens(granted: int, refused: int) -> None:
+    """Counts tokens of tenants of which this daemon is the home."""
+    _TOKENS_GRANTED.inc(granted)
+    _TOKENS_REFUSED.inc(refused)
 
 
 def observe_load(load: messages.Load) -> None:
--- a/rattangauge/sidecar/calllog.py
+++ b/rattangauge/sidecar/calllog.py
@@ -1,8 +1,9 @@
-"""Records the events of calls in the log of decisions."""
+"""Records calls in the log of decisions and in the metrics."""
 
 import time
 
 from rattangauge import decisionlog
+from rattangauge import metrics
 from rattangauge.calls import exchange
 from rattangauge.calls import placement
 from rattangauge.generated import logevents
@@ -102,13 +103,15 @@
         ``received_at`` is the arrival of the request on the clock of
         ``time.monotonic``, in seconds.
         """
+        elapsed_s = time.monotonic() - received_at
+        metrics.observe_outcome(call_open, metrics.ANSWERED, elapsed_s)
         self._log.record(
             logevents.CallEnded(
                 request=request_id,
                 version=call_open.version,
                 route=call_open.route,
                 status=status,
-                elapsed_ms=_to_ms(time.monotonic() - received_at),
+                elapsed_ms=_to_ms(elapsed_s),
                 attempts=attempts,
             )
         )
@@ -129,6 +132,8 @@
         ``time.monotonic``, in seconds; ``retry_after_s`` is 0 if the response
         has no Retry-After header.
         """
+        elapsed_s = time.monotonic() - received_at
+        metrics.observe_outcome(call_open, failure.code, elapsed_s)
         self._log.record(
             logevents.CallFailed(
                 request=request_id,
@@ -137,7 +142,7 @@
                 status=status,
                 code=failure.code,
                 reason=failure.message,
-                elapsed_ms=_to_ms(time.monotonic() - received_at),
+                elapsed_ms=_to_ms(elapsed_s),
                 attempts=attempts,
                 retry_after_s=retry_after_s,
             )
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -121,11 +121,12 @@
         The request passes the steps of ``_admit``, each of which may reject it,
         before it is sent to instances.
         """
+        call = None
         try:
             call = self._admit(request)
             await self._take_quota(call)
         except rejections.RejectedError as rejection:
-            return self._reject(request, rejection)
+            return self._reject(request, rejection, call)
         self._call_log.record_start(
             call.request_id, call.request.open, self._remaining_s(call)
         )
@@ -248,15 +249,22 @@
         self,
         request: http_messages.Request,
         rejection: rejections.RejectedError,
+        call: incomingcall.IncomingCall | None,
     ) -> http_messages.Response:
         """Logs a request that is not sent to any instance.
 
+        Args:
+            request: The request.
+            rejection: Why it is rejected.
+            call: Call that was made from it; None if it was rejected before.
+
         Returns:
             The response to the caller.
         """
+        call_open = messages.CallOpen(version=self.version)
         self._call_log.record_failure(
             request.header(self._header_names.request_id).decode("latin-1"),
-            messages.CallOpen(version=self.version),
+            call.request.open if call else call_open,
             rejection.failure,
             rejection.status,
             request.received_at,
--- a/rattangauge/sidecar/linkpacer.py
+++ b/rattangauge/sidecar/linkpacer.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from rattangauge import futures
+from rattangauge import metrics
 from rattangauge import receivememory
 from rattangauge.calls import exchange
 from rattangauge.calls import transfer_schedule
@@ -135,11 +136,13 @@
         size = len(answer.body)
         self._held_bytes += size
         self._memory.pin(size)
+        metrics.LEAVING_BYTES.set(self._held_bytes)
         try:
             yield
         finally:
             self._held_bytes -= size
             self._memory.unpin(size)
+            metrics.LEAVING_BYTES.set(self._held_bytes)
             for waiter in self._room_waiters:
                 futures.wake(waiter)
 
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -14,6 +14,7 @@
 
 from rattangauge import decisionlog
 from rattangauge import futures
+from rattangauge import metrics
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
 from rattangauge.calls import answer_sizes
@@ -284,6 +285,8 @@
             now = time.monotonic()
             held_s = now - started_at if status else 0.0
             self._resume(queue.finish(waiter, held_s, now))
+        metrics.observe_queue(call_open, started_at - enqueued_at)
+        metrics.observe_service(call_open, held_s)
         self._log.record(
             logevents.UpstreamRan(
                 request=request_id.decode("latin-1"),
--- a/rattangauge/sidecar/quotas.py
+++ b/rattangauge/sidecar/quotas.py
@@ -10,6 +10,7 @@
 from rattangauge import decisionlog
 from rattangauge import errors
 from rattangauge import futures
+from rattangauge import metrics
 from rattangauge.calls import quota
 from rattangauge.config import tenants
 from rattangauge.generated import logevents
@@ -235,7 +236,10 @@
             age_s = now - self._changed_at
             bucket = self._buckets[name] = quota.Bucket(limit, now, age_s)
         bucket.set_limit(limit, now)
-        return bucket.grant(ask, now)
+        grant = bucket.grant(ask, now)
+        refused = max(0, ask.wanted - grant.tokens)
+        metrics.observe_tokens(grant.tokens, refused)
+        return grant
 
     def _limit(self, name: str) -> quota.Limit:
         """Returns the part of a tenant's limit that this daemon may give."""
