Leave large answers a tenth of a link that short messages fill

Cause: since short messages count on the link, a large answer got no turn for as long as they took more than 0.9 of it. Change: a piece goes at a tenth of the link's rate in any case. Result: 0 bytes in 5 s in the test before, 0.08 of the link and more now.

--- a/rattangauge/calls/transfer_schedule.py
+++ b/rattangauge/calls/transfer_schedule.py
@@ -18,6 +18,8 @@
 # Share of the link's rate that messages may take. The network adds to each of
 # them, and messages of other programs of the instance use the link, too.
 LINK_SHARE = 0.9
+# Share of the link that large transfers get if short messages need all of it.
+MIN_LINK_SHARE = 0.1
 # Time for which the network may hold bytes that it has not sent, in seconds.
 MAX_AHEAD_S = 0.005
 # Time on the link that makes up for a second since the transfer began.
@@ -67,6 +69,9 @@
         self._ranks: dict[int, float] = {}
         # Time at which the link has sent all that it was given.
         self._free_at = -math.inf
+        # Time by which the next piece goes in any case.
+        self._due_at = -math.inf
+        self._longest_delay_s = self.duration_s(PIECE_BYTES) / MIN_LINK_SHARE
 
     @property
     def waiting_bytes(self) -> int:
@@ -99,6 +104,8 @@
             left_bytes: Bytes of it that were not handed to the network.
             began_at: Time at which the transfer began.
         """
+        if not self._left_bytes:
+            self._due_at = max(self._due_at, began_at + self._longest_delay_s)
         self._left_bytes[number] = left_bytes
         left_s = self.duration_s(left_bytes)
         self._ranks[number] = left_s + AGE_WEIGHT * began_at
@@ -110,7 +117,8 @@
 
     def delay_s(self, now: float) -> float:
         """Returns the time until the link takes the next piece."""
-        return max(0.0, self._free_at - MAX_AHEAD_S - now)
+        next_at = min(self._due_at, self._free_at - MAX_AHEAD_S)
+        return max(0.0, next_at - now)
 
     def take(self, now: float) -> tuple[int, int] | None:
         """Takes the next piece, if the link has room for it.
@@ -125,4 +133,5 @@
         size = min(PIECE_BYTES, self._left_bytes[number])
         self.withdraw(number)
         self.record_sent(size, now)
+        self._due_at = now + self._longest_delay_s
         return number, size
--- a/tests/test_linkpacer.py
+++ b/tests/test_linkpacer.py
@@ -77,6 +77,20 @@
     assert now < 6.0
 
 
+def test_short_messages_leave_a_part_of_the_link():
+    """Guards against large answers that stop while others fill the link."""
+    schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
+    sent, left, now = 0, 300_000, 0.0
+    schedule.request(1, left, 0.0)
+    while now < 5.0:
+        now += 0.01
+        schedule.record_sent(int(LINK_BYTES_PER_S * 0.011), now)
+        if (piece := schedule.take(now)) is not None:
+            sent, left = sent + piece[1], left - piece[1]
+            schedule.request(1, left, 0.0)
+    assert sent >= 0.08 * 5.0 * LINK_BYTES_PER_S
+
+
 def test_the_link_is_never_given_more_than_a_piece_ahead():
     """Guards against short messages that wait for a whole large answer."""
     schedule = transfer_schedule.TransferSchedule(LINK_BYTES_PER_S)
