--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -10,13 +10,19 @@
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-MODULES = ("bench_capacity", "bench_calls", "bench_distribution")
+MODULES = (
+    "bench_capacity",
+    "bench_calls",
+    "bench_decisions",
+    "bench_distribution",
+)
 TIMEOUT_S = 1800.0
 
 # Arguments that make a scenario short.
 QUICK_ARGUMENTS = {
     "bench_capacity": ("--quick",),
     "bench_calls": ("--scenario", "hop", "--scenario", "slowed"),
+    "bench_decisions": (),
     "bench_distribution": ("--sizes", "6", "--changes", "5"),
 }
 
--- a/tools/platformfleet.py
+++ b/tools/platformfleet.py
@@ -212,11 +212,16 @@
         self._network = f"127.{128 + number % 64}.{number // 64 % 250}"
 
     def publish(
-        self, paths: list[dict[str, Any]], services: tuple[str, ...]
+        self,
+        paths: list[dict[str, Any]],
+        services: tuple[str, ...],
+        tenants: tuple[dict[str, Any], ...] = (),
     ) -> None:
         """Writes the next version of the configuration to the store."""
         self._version += 1
         spec = configurations.configuration(self._version, paths, services)
+        if tenants:
+            spec["tenants"] = list(tenants)
         self.store.put("config", "main", spec)
 
     async def add(
