Let each zone decide which calls leave it

Cause: when a call leaves its zone was one constant for a call, and in a fleet of 79 a daemon knew nothing of the load of other zones: their reports come every 31 s, and an instance without a report counts as idle. Change: daemons tell the zones' sums with their reports to other zones; from these, its own zone's load and what the others have left, each decides the share of a service's calls that leaves; large answers stay, and no call goes to a zone without room.

--- a/rattangauge/calls/placement.py
+++ b/rattangauge/calls/placement.py
@@ -190,8 +190,26 @@
     if not candidates:
         return None
     local = choose_local(candidates, demand, random)
-    if local is not None:
-        return local
+    return local or cheapest(candidates, demand, random)
+
+
+def cheapest(
+    candidates: Sequence[Candidate],
+    demand: CallRequirements,
+    random: random_module.Random,
+) -> Candidate | None:
+    """Returns the instance where a call costs least, in whichever zone.
+
+    Args:
+        candidates: Instances that may take the call.
+        demand: Size of the call and time left to its target latency.
+        random: Source of random numbers.
+
+    Returns:
+        The instance; None if there is none.
+    """
+    if not candidates:
+        return None
     with_hold_times = _fill_unknown_hold(candidates)
     usable = _usable(with_hold_times) or with_hold_times
     return _cheapest(usable, demand, random)
--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -223,6 +223,11 @@
         total = self._load.running + self._load.queued
         return self.own_calls + max(0, total - self._own_calls_at_load)
 
+    @property
+    def slots(self) -> int:
+        """Calls that its upstream can run at a time."""
+        return self._load.limit or self.member.slots
+
     def load_age_s(self, now: float) -> float:
         """Returns the age of the newest load report, in seconds."""
         return now - self._load_received_at
@@ -258,7 +263,7 @@
             self.member.zone == zone,
             self.should_avoid(now),
             self.outstanding(now),
-            self._load.limit or self.member.slots,
+            self.slots,
             self._hold_s * self._hold_ratios.get(kind, 1.0),
             self._hold_s,
         )
--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -51,6 +51,11 @@
     "Tokens that this daemon gave or refused as the home of tenants.",
     ("result",),
 )
+SPILL_SHARE = prometheus_client.Gauge(
+    "rattangauge_zone_spill_share",
+    "Share of a service's calls that this daemon sends to other zones.",
+    ("service",),
+)
 LEAVING_BYTES = prometheus_client.Gauge(
     "rattangauge_leaving_answer_bytes",
     "Size of the answers that other daemons have not received completely.",
@@ -199,6 +204,11 @@
     _TOKENS_REFUSED.inc(refused)
 
 
+def observe_spill(service: str, share: float) -> None:
+    """Sets the share of a service's calls that leaves the zone."""
+    SPILL_SHARE.labels(service).set(share)
+
+
 def observe_load(load: messages.Load) -> None:
     """Sets the gauges of the upstream's load."""
     LOAD.labels("running").set(load.running)
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -18,6 +18,7 @@
 from rattangauge.http import messages as http_messages
 from rattangauge.http import server as server_module
 from rattangauge.membership import peers as peers_module
+from rattangauge.membership import zone_loads as zone_loads_module
 from rattangauge.net import connection_pool
 from rattangauge.net import forward
 from rattangauge.sidecar import calllog
@@ -28,6 +29,7 @@
 from rattangauge.sidecar import quotas as quotas_module
 from rattangauge.sidecar import rejections
 from rattangauge.sidecar import responses
+from rattangauge.sidecar import spillover
 from rattangauge.sidecar import upstreamchoice
 
 # Number of daemons that may refuse a call before the caller gets a refusal.
@@ -59,6 +61,7 @@
         peers: peers_module.PeerTable,
         local_upstream: localupstream.LocalUpstream,
         memory: receivememory.ReceiveMemory,
+        zone_loads: zone_loads_module.ZoneLoads,
         log: decisionlog.DecisionLog,
     ) -> None:
         """Creates a dispatcher without a configuration."""
@@ -76,7 +79,12 @@
         self._random = random_module.Random()
         self._quotas = quotas_module.Quotas(links, peers, log)
         self._upstreams = upstreamchoice.UpstreamChoice(
-            settings, links, peers, self._call_log, self._random
+            settings,
+            links,
+            peers,
+            self._call_log,
+            self._random,
+            spillover.Spillover(peers, zone_loads, self._random, log),
         )
         self._calls = incomingcall.CallMaker(
             header_names, peers.own, local_upstream
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -25,6 +25,7 @@
 from rattangauge.membership import heartbeats
 from rattangauge.membership import ownmember
 from rattangauge.membership import peers as peers_module
+from rattangauge.membership import zone_loads
 from rattangauge.net import connection_pool
 from rattangauge.net import forwardedcall
 from rattangauge.net import listeners as listeners_module
@@ -102,6 +103,7 @@
         self._local_upstream = localupstream.LocalUpstream(
             settings, header_names, self._memory, self._link_pacer, log
         )
+        self._zone_loads = zone_loads.ZoneLoads()
         self._dispatcher = dispatch_module.Dispatcher(
             settings,
             header_names,
@@ -109,6 +111,7 @@
             self._peers,
             self._local_upstream,
             self._memory,
+            self._zone_loads,
             log,
         )
         self._config_sync = configsync.ConfigSync(
@@ -126,6 +129,7 @@
             self._links,
             self._local_upstream,
             self._config_sync,
+            self._zone_loads,
             log,
         )
         self._caller_server = server_module.Server(
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -21,6 +21,7 @@
 from rattangauge.generated import messages
 from rattangauge.membership import heartbeats
 from rattangauge.membership import peers as peers_module
+from rattangauge.membership import zone_loads as zone_loads_module
 from rattangauge.net import connection_pool
 from rattangauge.sidecar import configsync
 from rattangauge.sidecar import localupstream
@@ -103,6 +104,7 @@
         links: connection_pool.Links,
         local_upstream: localupstream.LocalUpstream,
         config_sync: configsync.ConfigSync,
+        zone_loads: zone_loads_module.ZoneLoads,
         log: decisionlog.DecisionLog,
     ) -> None:
         """Creates the exchange; ``run`` starts it.
@@ -114,6 +116,7 @@
             links: Connections to the peers.
             local_upstream: Upstream whose state and load are reported.
             config_sync: Source of the configuration version that is reported.
+            zone_loads: Loads of the other zones, which their daemons report.
             log: Log of decisions.
         """
         self._settings = settings
@@ -125,6 +128,7 @@
         self._links = links
         self._local_upstream = local_upstream
         self._config_sync = config_sync
+        self._zone_loads = zone_loads
         self._log = log
         self._own_changed = anyio.Event()
         # Monotonic time at which each peer with an exchange was last reached,
@@ -205,13 +209,19 @@
         """
         report = self._refresh_own_report()
         peer = self._peers.get(address)
+        own_zone = self._settings.instance.zone
+        if peer is not None and peer.member.zone != own_zone:
+            loads = zone_loads_module.report(self._peers, time.monotonic())
+            report = report._replace(zone_loads=loads)
         if peer is None or peer.leaving is None:
             return report
         return report._replace(leaving=(*report.leaving, peer.leaving))
 
     def _update_peers(self, report: messages.PeerNews) -> None:
         """Applies the report of a peer to the table and the local upstream."""
-        self._peers.update(report, time.monotonic())
+        now = time.monotonic()
+        self._peers.update(report, now)
+        self._zone_loads.record(report.member.zone, report.zone_loads, now)
         own_mesh = self._peers.own.member.mesh
         for process in report.leaving:
             if process.mesh == own_mesh:
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -12,6 +12,7 @@
 from rattangauge.sidecar import calllog
 from rattangauge.sidecar import incomingcall
 from rattangauge.sidecar import linkpacer
+from rattangauge.sidecar import spillover
 
 # A call is refused without asking the instance if a load report that is younger
 # than this shows a wait above the longest useful wait of the call times the
@@ -32,6 +33,7 @@
         peers: peers_module.PeerTable,
         call_log: calllog.CallLog,
         random: random_module.Random,
+        spill: spillover.Spillover,
     ) -> None:
         """Creates a choice without measured sizes of answers."""
         self._settings = settings
@@ -39,6 +41,7 @@
         self._peers = peers
         self._call_log = call_log
         self._random = random
+        self._spill = spill
         self._answer_sizes = answer_sizes.AnswerSizes()
 
     def choose(
@@ -63,12 +66,16 @@
             self._candidate(peer, now, call_open.route) for peer in local
         ]
         chosen = placement.choose_local(candidates, demand, self._random)
+        is_small = answer_bytes < linkpacer.LARGE_ANSWER_BYTES
+        if is_small and self._spill.leaves(call_open.service):
+            chosen = None
         if chosen is None:
+            remote = self._with_room(call_open.service, remote)
             candidates += [
                 self._candidate(peer, now, call_open.route)
                 for peer in placement.sample(remote, self._random)
             ]
-            chosen = placement.choose(candidates, demand, self._random)
+            chosen = placement.cheapest(candidates, demand, self._random)
         peer = self._peers.get(chosen.address) if chosen else None
         if chosen is not None and peer is not None:
             self._call_log.record_placement(
@@ -117,6 +124,15 @@
         """Tells whether a peer is this daemon, whose answers need no link."""
         return peer is self._peers.own
 
+    def _with_room(
+        self, service: str, remote: list[peers_module.Peer]
+    ) -> list[peers_module.Peer]:
+        """Returns the instances of other zones that have room for a call."""
+        full = self._spill.zones_without_room(service)
+        if not full:
+            return remote
+        return [peer for peer in remote if peer.member.zone not in full]
+
     def _untried_peers(
         self, service: str, tried: set[str]
     ) -> tuple[list[peers_module.Peer], list[peers_module.Peer]]:
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -217,6 +217,13 @@
   holdMs @1 :UInt32;    # time until the sender may ask again
 }
 
+# Load of a service in the availability zone of the sender.
+struct ServiceLoad {
+  service @0 :Text;
+  slots @1 :UInt32;
+  busy @2 :UInt32;      # calls that run or wait
+}
+
 # Report of a daemon about itself to its peers.
 struct PeerNews {
   member @0 :Member;
@@ -224,4 +231,5 @@
   digest @2 :Text;      # of the configuration in force
   # Of the upstreams of the sender and of the receiver those known to leave.
   leaving @3 :List(LeavingUpstream);
+  zoneLoads @4 :List(ServiceLoad);  # of the sender's zone, for other zones
 }
--- a/tests/test_call_outcomes.py
+++ b/tests/test_call_outcomes.py
@@ -17,6 +17,7 @@
 from rattangauge.generated import messages
 from rattangauge.generated import objects as generated
 from rattangauge.membership import peers as peers_module
+from rattangauge.membership import zone_loads
 from rattangauge.net import forward
 from rattangauge.sidecar import dispatch
 from rattangauge.sidecar import headernames
@@ -87,7 +88,8 @@
     def __init__(self, settings, peers, cases):
         """Creates a dispatcher for one call."""
         log = decisionlog.DecisionLog("own", "zone-1", len)
-        super().__init__(settings, NAMES, None, peers, None, None, log)
+        loads = zone_loads.ZoneLoads()
+        super().__init__(settings, NAMES, None, peers, None, None, loads, log)
         self._cases = list(cases)
         self._upstreams.choose = self._choose_untried
         self.runs = 0
