Let single calls leave into zones that are not full

Change: the reserve bounds the share alone; a call that its zone cannot serve in time may go where slots are free.

--- a/rattangauge/sidecar/spillover.py
+++ b/rattangauge/sidecar/spillover.py
@@ -48,14 +48,14 @@
         share = self._share(service)
         return share > 0.0 and self._random.random() < share
 
-    def zones_without_room(self, service: str) -> set[str]:
-        """Returns the zones that said lately that they have no room."""
+    def full_zones(self, service: str) -> set[str]:
+        """Returns the zones that lack room themselves, as they said lately."""
         now = time.monotonic()
         return {
             zone
             for zone, load in self._loads.of(service)
             if now - load.reported_at <= zone_spill.MAX_REPORT_AGE_S
-            and zone_spill.room(load, now) <= 0.0
+            and zone_spill.lack(load) > 0.0
         }
 
     def _share(self, service: str) -> float:
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -128,7 +128,7 @@
         self, service: str, remote: list[peers_module.Peer]
     ) -> list[peers_module.Peer]:
         """Returns the instances of other zones that have room for a call."""
-        full = self._spill.zones_without_room(service)
+        full = self._spill.full_zones(service)
         if not full:
             return remote
         return [peer for peer in remote if peer.member.zone not in full]
