Serve the tenants of one priority in turn

Cause: calls of the same priority were served in the order of arrival, so that the calls of a tenant that sends many times its usual delayed those of all others. Change: calls that are otherwise equal are served in the order of how many calls of their tenant run or wait at the upstream; calls without a tenant as before.

--- a/rattangauge/calls/call_queue.py
+++ b/rattangauge/calls/call_queue.py
@@ -53,6 +53,7 @@
         target_at: Time at which the target latency ends, in seconds; 0 if
             unknown.
         deadline: Time by which the call must be answered, in seconds.
+        tenant: Name of its tenant; empty if it has none.
     """
 
     number: int
@@ -62,6 +63,7 @@
     inner: bool
     target_at: float
     deadline: float
+    tenant: str = ""
 
 
 class QueueDecision(NamedTuple):
@@ -85,7 +87,7 @@
         waiter: The call.
     """
 
-    rank: tuple[bool, int, bool]
+    rank: tuple[bool, int, bool, int]
     arrival: int
     waiter: QueuedCall
 
@@ -242,7 +244,8 @@
         is_next = not self._waiting or self._can_pass(waiter, now)
         if is_next and self._has_slot(waiter, now) and self._may_start(now):
             return QueueDecision(started=(self._start(waiter),))
-        entry = _Entry(_rank(waiter), next(self._arrivals), waiter)
+        rank = (*_rank(waiter), self._calls_of(waiter.tenant))
+        entry = _Entry(rank, next(self._arrivals), waiter)
         index = bisect.bisect_right(self._waiting, entry)
         self._waiting.insert(index, entry)
         return QueueDecision(refused=self._refuse_late(index, now))
@@ -310,6 +313,18 @@
         self._waiting.clear()
         return QueueDecision(refused=refused)
 
+    def _calls_of(self, tenant: str) -> int:
+        """Returns the calls of a tenant that run or wait; 0 without a tenant.
+
+        Calls that are otherwise equal are served in the order of this number,
+        so that each tenant has its turn, however many calls another one sends.
+        """
+        if not tenant:
+            return 0
+        waiting = sum(1 for e in self._waiting if e.waiter.tenant == tenant)
+        running = self._running.values()
+        return waiting + sum(1 for call in running if call.tenant == tenant)
+
     def _has_slot(self, waiter: QueuedCall, now: float) -> bool:
         """Tells whether a free slot may be given to a call.
 
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -344,6 +344,7 @@
             call_open.inner,
             target_at,
             request.deadline - transfer.send_s,
+            call_open.tenant,
         )
         busy_until = now + self._queue.hold_s(waiter.kind)
         longest_s = transfer_schedule.max_wait_s(
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -222,3 +222,34 @@
     load = builders.load(service_us=int(queue.mean_hold_s * 1e6))
     message = messages.PeerNews(load=load)
     assert messages.decode(messages.encode(1, message))[1] == message
+
+
+def _wait_of_others(tenants):
+    """Returns how many calls start before the last one, by another tenant."""
+    queue = call_queue.Queue(2, 40, 0.0)
+    running = [builders.waiter(n, deadline=90.0) for n in range(2)]
+    for waiter in running:
+        queue.offer(waiter, 0.0)
+    for number, tenant in enumerate(tenants, 10):
+        queue.offer(
+            builders.waiter(
+                number, tenant=tenant, target_at=90.0, deadline=99.0
+            ),
+            0.0,
+        )
+    order = []
+    while queue.queued:
+        decision = queue.finish(running.pop(0), 0.05, 0.1)
+        running += decision.started
+        order += [waiter.number for waiter in decision.started]
+    return order.index(9 + len(tenants))
+
+
+def test_each_tenant_has_its_turn():
+    """Guards against a tenant that waits behind all calls of another one."""
+    assert _wait_of_others(["hot"] * 12 + ["small"]) <= 1
+
+
+def test_calls_without_tenants_are_served_in_the_order_of_arrival():
+    """Guards against another order where there are no tenants."""
+    assert _wait_of_others([""] * 12) == 11
