--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -2,6 +2,7 @@
 
 import json
 from typing import Any
+from typing import NamedTuple
 import urllib.parse
 
 import anyio
@@ -14,6 +15,14 @@
 _JSON = ((b"content-type", b"application/json"),)
 
 
+class Copy(NamedTuple):
+    """State of a store, to which it can go back."""
+
+    revision: int
+    objects: dict[str, dict[str, Any]]
+    history: list[tuple[int, str, dict[str, Any]]]
+
+
 def _reply(status: int, table: Any = None) -> messages.Response:
     return messages.Response(status, _JSON, json.dumps(table).encode())
 
@@ -27,6 +36,7 @@
             up.
         is_silent: Whether calls get no answer.
         loses_answers: Whether writes are done and not answered.
+        era: Era in all answers; it rises when the store goes back to a copy.
     """
 
     def __init__(self) -> None:
@@ -35,6 +45,7 @@
         self.refuse_with = 0
         self.is_silent = False
         self.loses_answers = False
+        self.era = 1
         self.address = ""
         self._revision = 1
         self._oldest = 0
@@ -78,11 +89,29 @@
         self._history.clear()
         self._notify()
 
+    def copy(self) -> Copy:
+        """Returns a copy of the present state."""
+        objects = {kind: dict(own) for kind, own in self._objects.items()}
+        return Copy(self._revision, objects, list(self._history))
+
+    def restore(self, copy: Copy) -> None:
+        """Goes back to a copy; it gives revisions out again."""
+        self._revision, self._objects, self._history = copy
+        self.era += 1
+        self._notify()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
     async def _handle(self, request: messages.Request) -> messages.Response:
+        response = await self._handle_in_era(request)
+        era = (b"store-era", b"%d" % self.era)
+        return response._replace(headers=(*response.headers, era))
+
+    async def _handle_in_era(
+        self, request: messages.Request
+    ) -> messages.Response:
         self.calls.append(f"{request.method} {request.target}")
         if self.is_silent:
             await anyio.sleep_forever()
@@ -123,7 +152,7 @@
         wait_s = int(query.get("wait-ms", "0")) / 1000
         deadline = anyio.current_time() + wait_s
         while True:
-            if since < self._oldest:
+            if not self._oldest <= since <= self._revision:
                 return _reply(410)
             events = [
                 event
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -30,7 +30,7 @@
 PROTOCOL_NAMES = re.compile(
     "server-seal|target-instance|not-executed|virtual-hosts|path-prefix"
     "|weighted-split|cold-left-s|heartbeat-addr|store-revision|local-node"
-    "|app-addr|deregister|RATTANGAUGE_SETTINGS",
+    "|app-addr|deregister|RATTANGAUGE_SETTINGS|store-era",
     re.IGNORECASE,
 )
 
