Spread the calls of a store that returns, and let the soak bring it back older

Cause: while the store was away each daemon read the directory every 0.2 to 0.4 s, so that all of them called it as soon as it returned.

A fault of the soak lets the store come back from a copy, after which the newest version is written again; the faults of the store have a module of their own. tools/mutations.py copies the adapter and tests the copy: the virtual environment's own adapter hid edits of platform/.

--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -1,4 +1,4 @@
-"""Exchanges state with the peers and finds them in the directory.
+"""Exchanges state with the peers.
 
 Each daemon reports its own state to all others at an interval, and at once when
 its upstream changes. It finds the others in the store's directory of daemons,
@@ -24,6 +24,7 @@
 from rattangauge.membership import zone_loads as zone_loads_module
 from rattangauge.net import connection_pool
 from rattangauge.sidecar import configsync
+from rattangauge.sidecar import directory
 from rattangauge.sidecar import localupstream
 from rattangauge.sidecar import stores
 from rattangauge.sidecar import watchers
@@ -57,9 +58,6 @@
 # A peer that has been unreachable for this time is removed. If the directory
 # still lists it, it is added again.
 REMOVE_AFTER_S = 60.0
-# Time between two reads of the directory, after a success and after a failure.
-DIRECTORY_PERIOD_S = 10.0
-DIRECTORY_RETRY_S = 0.3
 
 _DIRECTORY_LOOP = supervision.Loop("directory")
 _POLL_LOOP = supervision.Loop("polls")
@@ -122,7 +120,9 @@
         self._settings = settings
         times = watchtimes.from_settings(settings.platform)
         self._poll_period_s = times.poll_period_s
-        self._store = store
+        self._directory = directory.Directory(
+            store, peers, self._start_exchange, log
+        )
         self._peers = peers
         self._sources = watchers.Sources(peers)
         self._links = links
@@ -144,7 +144,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             for loop, function in (
-                (_DIRECTORY_LOOP, self._follow_directory),
+                (_DIRECTORY_LOOP, self._directory.follow),
                 (_POLL_LOOP, self._poll_sources),
                 (_CHANGE_LOOP, self._report_upstream_changes),
             ):
@@ -170,6 +170,7 @@
     async def announce_stop(self) -> None:
         """Tells all peers that the daemon accepts no more calls."""
         self._is_stopping = True
+        self._directory.stop()
         self._refresh()
 
     def _refresh_own_report(self) -> messages.PeerNews:
@@ -424,44 +425,3 @@
                 logevents.DependencyLost(address, error.code, error.message)
             )
         peer.record_failure(time.monotonic())
-
-    async def _follow_directory(self) -> None:
-        """Registers the daemon in the directory and adds the listed peers."""
-        is_first = True
-        while True:
-            try:
-                await self._read_directory(is_first)
-            except errors.CodedError as error:
-                loguru.logger.debug(
-                    "cannot read the directory of daemons: {}", error
-                )
-                pause_s = DIRECTORY_RETRY_S
-            else:
-                is_first = False
-                pause_s = DIRECTORY_PERIOD_S
-            await anyio.sleep(pause_s * self._random.uniform(0.7, 1.3))
-
-    async def _read_directory(self, is_first: bool) -> None:
-        """Reads the directory once; the first time, registers the daemon.
-
-        Raises:
-            errors.CodedError: The store did not answer.
-        """
-        own = self._peers.own.member
-        entry = stores.DirectoryEntry(own.mesh, own.zone, own.region)
-        if is_first:
-            # Writes before it reads: if two daemons start together, at least
-            # the one that reads later sees the other.
-            await self._store.add_daemon(entry)
-        entries = await self._store.list_daemons(may_be_stale=not is_first)
-        if entry not in entries and not self._is_stopping:
-            await self._store.add_daemon(entry)
-        for other in entries:
-            self._add_peer(other)
-
-    def _add_peer(self, entry: stores.DirectoryEntry) -> None:
-        member = messages.Member(
-            mesh=entry.mesh, zone=entry.zone, region=entry.region
-        )
-        if self._peers.add(member) is not None:
-            self._start_exchange(entry.mesh)
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -19,6 +19,7 @@
     """State of a store, to which it can go back."""
 
     revision: int
+    oldest: int
     objects: dict[str, dict[str, Any]]
     history: list[tuple[int, str, dict[str, Any]]]
 
@@ -92,11 +93,12 @@
     def copy(self) -> Copy:
         """Returns a copy of the present state."""
         objects = {kind: dict(own) for kind, own in self._objects.items()}
-        return Copy(self._revision, objects, list(self._history))
+        history = list(self._history)
+        return Copy(self._revision, self._oldest, objects, history)
 
     def restore(self, copy: Copy) -> None:
         """Goes back to a copy; it gives revisions out again."""
-        self._revision, self._objects, self._history = copy
+        self._revision, self._oldest, self._objects, self._history = copy
         self.era += 1
         self._notify()
 
--- a/tests/test_loop_failures.py
+++ b/tests/test_loop_failures.py
@@ -19,6 +19,7 @@
 from rattangauge import supervision
 from rattangauge.net import connection_monitor
 from rattangauge.net import connections
+from rattangauge.sidecar import directory
 from rattangauge.sidecar import node as node_module
 from rattangauge.sidecar import peerexchange
 from tests import meshes
@@ -27,8 +28,11 @@
 LATER = meshes.path("/later/", "skladby")
 # Where each case raises: what has the function that a loop calls, and its name.
 PLACES = {
-    "directory": (lambda node: node._peer_exchange, "_read_directory"),
-    "directory-entry": (lambda node: node._peer_exchange, "_add_peer"),
+    "directory": (lambda node: node._peer_exchange._directory, "_read"),
+    "directory-entry": (
+        lambda node: node._peer_exchange._directory,
+        "_add_peer",
+    ),
     "sources": (lambda node: node._peer_exchange._sources, "current"),
     "upstream-reports": (lambda node: node._peer_exchange, "_refresh"),
     "peer": (lambda node: node._peer_exchange, "_exchange"),
@@ -109,7 +113,7 @@
     place, errors_name, monkeypatch
 ):
     """Guards against a daemon that an unexpected error ends or cripples."""
-    monkeypatch.setattr(peerexchange, "DIRECTORY_PERIOD_S", 0.1)
+    monkeypatch.setattr(directory, "PERIOD_S", 0.1)
     async with meshes.running() as mesh:
         await mesh.start_instances([TRACK], "a", "b")
         instance = mesh.instances["a"]
--- a/tests/test_platform_eras.py
+++ b/tests/test_platform_eras.py
@@ -7,7 +7,7 @@
 
 from rattangauge import errors
 from rattangauge.generated import errorcodes
-from rattangauge.sidecar import peerexchange
+from rattangauge.sidecar import directory
 from rattangauge.sidecar import stores
 from tests import meshes
 from tests import test_platform_adapter
@@ -105,7 +105,7 @@
 
 async def test_daemons_keep_their_version_and_heal_the_directory(monkeypatch):
     """Guards against an older configuration, and against lost entries."""
-    monkeypatch.setattr(peerexchange, "DIRECTORY_PERIOD_S", 0.4)
+    monkeypatch.setattr(directory, "PERIOD_S", 0.4)
     kind = store_module.DIRECTORY_KIND
     names = ("a", "b", "c")
     async with meshes.running() as mesh:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -21,7 +21,17 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TABLE = ROOT / "tools" / "mutations.toml"
-FOLDERS = ("examples", "rattangauge", "schema", "standins", "tests", "tools")
+FOLDERS = (
+    "examples",
+    "platform",
+    "rattangauge",
+    "schema",
+    "standins",
+    "tests",
+    "tools",
+)
+# Package of the adapter, whose folder has another name.
+ADAPTER = "rattangauge_platform"
 FILES = ("KNOWN-RED.txt", "pyproject.toml")
 
 # The longest test of a whole mesh takes less than a minute.
@@ -96,6 +106,7 @@
         shutil.copytree(ROOT / name, target / name, ignore=ignored)
     for name in FILES:
         shutil.copy2(ROOT / name, target / name)
+    (target / ADAPTER).symlink_to(target / "platform")
 
 
 def _run_tests(
--- a/tools/platformfleet.py
+++ b/tools/platformfleet.py
@@ -207,6 +207,7 @@
         self._tasks = tasks
         self._started: list[subprocess.Popen[bytes]] = []
         self._version = 0
+        self._configuration: dict[str, Any] = {}
         self._client = httpx.AsyncClient(verify=False, timeout=1.0)
         number = os.getpid()
         self._network = f"127.{128 + number % 64}.{number // 64 % 250}"
@@ -222,7 +223,12 @@
         spec = configurations.configuration(self._version, paths, services)
         if tenants:
             spec["tenants"] = list(tenants)
-        self.store.put("config", "main", spec)
+        self._configuration = spec
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Writes the newest version, which the store may have lost."""
+        self.store.put("config", "main", self._configuration)
 
     async def add(
         self, name: str, service: str, zone: str = "zone-1"
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import functools
 import os
 import pathlib
 import signal
@@ -18,6 +19,7 @@
 from tools import platformfleet
 from tools import schedule
 from tools import soakchecks
+from tools import soakstore
 
 DAEMON_KINDS = (
     "stop",
@@ -31,18 +33,12 @@
 )
 # Modes of the relay between two daemons or a daemon and the store.
 LINK_KINDS = ("delay", "cut", "one_way", "black_hole", "freeze_open")
-STORE_KINDS = (
-    "store_refuses",
-    "store_silent",
-    "store_loses_answers",
-    "store_compacts",
-)
 UPSTREAM_KINDS = ("upstream_restart", "upstream_drain")
 # The order decides which faults a seed gives.
 KINDS = (
     *DAEMON_KINDS,
     *LINK_KINDS,
-    *STORE_KINDS,
+    *soakstore.KINDS,
     *UPSTREAM_KINDS,
     "publish",
 )
@@ -294,9 +290,11 @@
         self._tasks = tasks
         self._names = list(fleet.machines)
         self._version = 0
-        # Store faults that act now, and upstreams that are down or drain.
-        self._acting: collections.Counter[str] = collections.Counter()
+        # Machines whose upstreams are down or drain.
         self._busy: set[str] = set()
+        store = soakstore.StoreFaults(
+            fleet, functools.partial(daemons.disturbed, "", excuses=False)
+        )
         self._actions: dict[str, Action] = {
             "stop": self._stop,
             "stop_overlapped": self._stop_overlapped,
@@ -307,7 +305,7 @@
             "user_signal": self._user_signal,
             "log_reader_gone": self._log_reader_gone,
             **dict.fromkeys(LINK_KINDS, self._link),
-            **dict.fromkeys(STORE_KINDS, self._store),
+            **dict.fromkeys(soakstore.KINDS, store.run),
             "upstream_restart": self._restart_upstream,
             "upstream_drain": self._drain_upstream,
             "publish": self._publish,
@@ -388,23 +386,6 @@
             for pair in pairs:
                 pair.set_fault(relay_module.Mode.PASS, 0.0)
 
-    async def _store(self, fault: schedule.Fault) -> None:
-        if fault.kind == "store_compacts":
-            self._fleet.store.compact()
-            return
-        async with self._daemons.disturbed("", excuses=False):
-            self._acting[fault.kind] += 1
-            self._apply_store_faults()
-            await anyio.sleep(fault.length_s)
-            self._acting[fault.kind] -= 1
-            self._apply_store_faults()
-
-    def _apply_store_faults(self) -> None:
-        store = self._fleet.store
-        store.refuse_with = 503 if self._acting["store_refuses"] else 0
-        store.is_silent = self._acting["store_silent"] > 0
-        store.loses_answers = self._acting["store_loses_answers"] > 0
-
     async def _restart_upstream(self, fault: schedule.Fault) -> None:
         """Ends an upstream without a notice and starts it again."""
         async with self._exclusive(fault) as machine:
