Play tenants, a quota and large answers in the soak

New rules: KEY (a request runs as another tenant, without a key, or with the key passed on) and QUOTA (a window with more than rate and burst). A 401 with a valid key is MIXED.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from tools import soak
 from tools import soakcallers
 from tools import soakchecks
+from tools import soakconfig
 from tools import soakfaults
 
 pytestmark = pytest.mark.anyio
@@ -88,6 +89,8 @@
         ("TWICE", {"runs": {**SOUND.runs, "t7": 2}}),
         ("REFUSED", {"runs": {**SOUND.runs, "t2": 1}}),
         ("MIXED", {"calls": (kept(caller.WRONG),)}),
+        ("KEY", {"foreign": (invariants.Violation("KEY", 1.0, "t1", ""),)}),
+        ("QUOTA", {"quota_runs": tuple(n / 20.0 for n in range(100))}),
         ("MIXED", {"runs": {**SOUND.runs, "t1": 0}}),
     ],
 )
@@ -125,6 +128,32 @@
     assert soakcallers.outcome_of(REQUEST, answer)[0] == outcome
 
 
+def test_a_rejected_key_is_no_fault_only_if_it_is_unknown():
+    """Guards against a soak that takes 401 for any request."""
+    outcomes = {
+        soakconfig.of(identity): soakcallers.outcome_of(
+            soakcallers.Request(identity, "GET", "/track/1"),
+            caller.Answer(401, {b"request-id": identity.encode()}, b""),
+        )[0]
+        for identity in map(str, range(100))
+    }
+    assert outcomes.pop(soakconfig.STRANGER) == caller.NOT_RUN
+    assert set(outcomes.values()) == {caller.WRONG}
+
+
+async def test_a_run_as_another_tenant_is_recorded(tmp_path):
+    """Guards against runs with a forged tenant, or with the key itself."""
+    machine = platformfleet.Machine("m1", "skladby", "127.0.0.1", tmp_path)
+    record = soakcallers.Record(1)
+    run = record.behaviour(machine)
+    own = soakconfig.of("a-1").encode()
+    for name, key in ((own, b""), (b"other", b""), (own, b"Bearer x")):
+        fields = [(b"request-id", b"a-1"), (b"tenant-id", name)]
+        fields += [(b"authorization", key)] if key else []
+        await run(messages.Request("GET", "/track/a-1", tuple(fields), b""))
+    assert len(record.foreign) == 2
+
+
 async def test_an_upstream_counts_what_it_runs_and_refuses_others(tmp_path):
     """Guards against runs that nobody counts, or runs for another upstream."""
     machine = platformfleet.Machine("m1", "skladby", "127.0.0.1", tmp_path)
--- a/tools/platformfleet.py
+++ b/tools/platformfleet.py
@@ -293,7 +293,7 @@
         fields = {"host": configurations.HOST, "connection": "close", **headers}
         return (await self._client.get(url, headers=fields)).status_code
 
-    async def wait_served(self, name: str, target: str) -> None:
+    async def wait_served(self, name: str, target: str, **headers: str) -> None:
         """Waits until a request at a machine succeeds.
 
         Raises:
@@ -302,7 +302,7 @@
         with anyio.fail_after(START_TIMEOUT_S):
             while True:
                 with contextlib.suppress(httpx.HTTPError):
-                    if await self.request(name, target) == 200:
+                    if await self.request(name, target, **headers) == 200:
                         return
                 await anyio.sleep(POLL_PERIOD_S)
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -25,6 +25,7 @@
 from tools import schedule
 from tools import soakcallers
 from tools import soakchecks
+from tools import soakconfig
 from tools import soakfaults
 from tools import soakstrangers
 
@@ -41,7 +42,9 @@
 LATE_RUNS_S = 1.0
 # Time that a run may take beyond that of its slots.
 BEYOND_SLOTS_S = 150.0
-TARGETS = ("/track/", "/order/", "/upload/")
+TARGETS = ("/track/", "/order/", "/upload/", soakcallers.LARGE_PREFIX)
+# Rate of the network link of each instance; large answers wait for it.
+LINK_MBPS = 20.0
 
 
 def _place(host: str) -> int:
@@ -96,12 +99,13 @@
 
     async def _add(self, number: int) -> None:
         """Adds a machine whose connections take the relay."""
-        service = soakfaults.SERVICES[number % len(soakfaults.SERVICES)]
+        service = soakconfig.SERVICES[number % len(soakconfig.SERVICES)]
         name = f"m{number + 1}"
-        zone = f"zone-{number // len(soakfaults.SERVICES) % ZONES + 1}"
+        zone = f"zone-{number // len(soakconfig.SERVICES) % ZONES + 1}"
         machine = await self._fleet.add(name, service, zone)
         place = _place(machine.host)
         machine.upstream.behaviour = self._record.behaviour(machine)
+        machine.settings["instance"]["link_mbps"] = LINK_MBPS
         machine.settings["listen"]["advertise"] = await self._route(
             machine, machine.address("mesh"), place, None
         )
@@ -158,7 +162,10 @@
         async def wait(name: str, target: str) -> None:
             while (name, target) in unserved:
                 with contextlib.suppress(TimeoutError):
-                    await self._fleet.wait_served(name, target)
+                    key = soakconfig.key(soakconfig.CHOIR)
+                    await self._fleet.wait_served(
+                        name, target, authorization=key
+                    )
                     unserved.discard((name, target))
 
         start_s = START_PER_MACHINE_S * len(self._fleet.machines)
@@ -188,6 +195,8 @@
             tuple(process.seen() for process in self._daemons.processes),
             unserved,
             self._started_s,
+            tuple(self._record.quota_runs),
+            tuple(self._record.foreign),
         )
 
 
--- a/tools/soakcallers.py
+++ b/tools/soakcallers.py
@@ -16,6 +16,7 @@
 from tools import invariants
 from tools import platformfleet
 from tools import soakchecks
+from tools import soakconfig
 
 DEADLINE_S = 2.5
 # An answer that is later than this does not come any more.
@@ -24,6 +25,9 @@
 # Statuses that promise that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
 UPLOAD_BYTES = 100_000
+# Size of the answers of the route for large ones.
+LARGE_BYTES = 150_000
+LARGE_PREFIX = "/large/"
 MAX_AHEAD = 4
 MAX_IDLE_S = 1.0
 # Requests a second of all callers together.
@@ -47,6 +51,8 @@
 ) -> bytes:
     """Returns the body of the answer to a request; it belongs to no other."""
     size = zlib.crc32(identity.encode()) % 2_000
+    if target.startswith(LARGE_PREFIX):
+        size += LARGE_BYTES
     text = f"{identity} {method} {target} {len(body)} {zlib.crc32(body)}"
     return text.encode().ljust(size, b".")
 
@@ -57,12 +63,16 @@
     Attributes:
         calls: Requests of callers.
         runs: Times that each request ran.
+        quota_runs: Times at which requests of the tenant with a quota ran.
+        foreign: Requests that ran as another tenant, or came with a key.
     """
 
     def __init__(self, seed: int) -> None:
         """Creates an empty record; the seed chooses times of work."""
         self.calls: list[soakchecks.KeptCall] = []
         self.runs: collections.Counter[str] = collections.Counter()
+        self.quota_runs: list[float] = []
+        self.foreign: list[invariants.Violation] = []
         self._random = random.Random(seed)
 
     def behaviour(self, machine: platformfleet.Machine) -> appworker.Behaviour:
@@ -74,6 +84,7 @@
                 return appworker.not_run(request, 421)
             identity = request.header(b"request-id").decode()
             self.runs[identity] += 1
+            self._record_tenant(identity, request)
             is_long = self._random.random() < LONG_SHARE
             limit_s = LONG_WORK_S if is_long else WORK_S
             await anyio.sleep(self._random.uniform(0.0, limit_s))
@@ -84,6 +95,18 @@
 
         return run
 
+    def _record_tenant(self, identity: str, request: messages.Request) -> None:
+        """Records a run of a tenant, and whether it is the right one."""
+        now, tenant = anyio.current_time(), soakconfig.of(identity)
+        if tenant == soakconfig.SCHOOL:
+            self.quota_runs.append(now)
+        name = request.header(b"tenant-id").decode()
+        has_key = bool(request.header(b"authorization"))
+        if identity and (name != tenant or has_key):
+            text = f"ran as {name!r} for {tenant!r}, key passed on: {has_key}"
+            found = invariants.Violation("KEY", now, identity, text)
+            self.foreign.append(found)
+
 
 def outcome_of(request: Request, answer: caller.Answer) -> tuple[str, str]:
     """Returns outcome and detail of an answer."""
@@ -92,6 +115,9 @@
     if identity != request.identity.encode():
         return caller.WRONG, f"{detail} of {identity!r}"
     is_sealed = b"server-seal" in answer.headers
+    if answer.status == 401:
+        is_due = soakconfig.of(request.identity) == soakconfig.STRANGER
+        return caller.NOT_RUN if is_due else caller.WRONG, detail
     if answer.status == 200:
         expected = expected_body(*request)
         if is_sealed and answer.body == expected:
@@ -164,7 +190,9 @@
         if kind < 0.30:
             body = self._random.randbytes(UPLOAD_BYTES)
             return [self._request("POST", "/upload/", body)]
-        count = self._random.randint(2, MAX_AHEAD) if kind < 0.40 else 1
+        if kind < 0.34:
+            return [self._request("GET", LARGE_PREFIX)]
+        count = self._random.randint(2, MAX_AHEAD) if kind < 0.44 else 1
         return [self._request("GET", "/track/") for _ in range(count)]
 
     async def _exchange(
@@ -248,6 +276,11 @@
         fields = [
             ("host", configurations.HOST),
             ("request-id", request.identity),
+            (
+                "authorization",
+                soakconfig.key(soakconfig.of(request.identity)),
+            ),
+            ("tenant-id", soakconfig.CHOIR),
             ("deadline-ms", str(int(DEADLINE_S * 1000))),
         ]
         sent.append(request)
--- a/tools/soakchecks.py
+++ b/tools/soakchecks.py
@@ -6,6 +6,7 @@
 
 from standins import caller
 from tools import invariants
+from tools import soakconfig
 
 # Time from SIGTERM after which the platform kills a daemon.
 GRACE_S = 6.0
@@ -69,6 +70,8 @@
         processes: All daemon processes.
         unserved: Instances and targets that were not served after healing.
         started_s: Time from which violations count.
+        quota_runs: Times at which requests of the tenant with a quota ran.
+        foreign: Requests that ran as another tenant, or came with a key.
     """
 
     calls: tuple[KeptCall, ...] = ()
@@ -77,6 +80,8 @@
     processes: tuple[SeenProcess, ...] = ()
     unserved: tuple[tuple[str, str], ...] = ()
     started_s: float = 0.0
+    quota_runs: tuple[float, ...] = ()
+    foreign: tuple[invariants.Violation, ...] = ()
 
 
 def _as_rule(
@@ -144,6 +149,16 @@
     return found
 
 
+def beyond_quota(observed: Observed) -> list[invariants.Violation]:
+    """Finds a window in which too many requests of a tenant ran."""
+    found = soakconfig.excess(observed.quota_runs)
+    if found is None:
+        return []
+    at_s, count = found
+    text = f"{count} requests ran in {soakconfig.WINDOW_S} s"
+    return [invariants.Violation("QUOTA", at_s, soakconfig.SCHOOL, text)]
+
+
 def check(observed: Observed) -> list[invariants.Violation]:
     """Returns all violations of a run, by rule and time."""
     calls = [kept.call for kept in observed.calls]
@@ -153,6 +168,8 @@
     found = [
         *faults(observed),
         *lost(observed),
+        *observed.foreign,
+        *beyond_quota(observed),
         *_as_rule("TWICE", invariants.ran_twice(unsafe, runs)),
         *_as_rule("REFUSED", invariants.not_run_but_ran(unsafe, runs)),
         *_as_rule("MIXED", invariants.wrong_answers(calls)),
--- a/tools/soakfaults.py
+++ b/tools/soakfaults.py
@@ -13,11 +13,11 @@
 import anyio
 import anyio.abc
 
-from standins import configurations
 from standins import relay as relay_module
 from tools import platformfleet
 from tools import schedule
 from tools import soakchecks
+from tools import soakconfig
 
 DAEMON_KINDS = (
     "stop",
@@ -51,7 +51,6 @@
     kind for kind in KINDS if kind not in ("kill", "pause", *LINK_KINDS)
 )
 
-SERVICES = ("skladby", "objednavky")
 PLACE_OF_STORE = relay_module.PLATFORM_ZONE
 # Processor time by which Python has run the first line of a daemon.
 FIRST_LINE_CPU_S = 0.1
@@ -65,19 +64,6 @@
 DRAIN_S = 3.5
 
 
-def paths(version: int) -> list[dict[str, object]]:
-    """Returns the routes of a version; each differs from the one before."""
-    moved = SERVICES[version % len(SERVICES)]
-    return [
-        configurations.path("/track/", "skladby", **{"timeout-s": 3.0}),
-        configurations.path("/order/", "objednavky", kind="unsafe"),
-        configurations.path(
-            "/upload/", "skladby", kind="upload", **{"timeout-s": 3.0}
-        ),
-        configurations.path(f"/moved-{version}/", moved),
-    ]
-
-
 class Process:
     """A daemon process of a machine.
 
@@ -320,7 +306,11 @@
     def publish(self) -> None:
         """Writes a configuration to the store."""
         self._version += 1
-        self._fleet.publish(paths(self._version), SERVICES)
+        self._fleet.publish(
+            soakconfig.paths(self._version),
+            soakconfig.SERVICES,
+            soakconfig.TENANTS,
+        )
 
     def _process(self, fault: schedule.Fault) -> Process:
         return self._daemons.newest(self._names[fault.target])
--- a/tools/soakstrangers.py
+++ b/tools/soakstrangers.py
@@ -15,6 +15,7 @@
 
 from standins import configurations
 from tools import platformfleet
+from tools import soakconfig
 
 # Longest time for which a stranger holds a connection.
 HOLD_S = 3.0
@@ -38,6 +39,7 @@
         f"{method} {target}{identity} HTTP/1.1",
         f"host: {configurations.HOST}",
         f"request-id: {identity}",
+        f"authorization: {soakconfig.key(soakconfig.of(identity))}",
         "deadline-ms: 2500",
     ]
     if body:
