--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -162,6 +162,32 @@
     assert _most_in_a_window(sorted(ran)) <= _bound(limit)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_third_of_the_daemons_killed_keeps_to_the_bound(seed):
+    """Guards against a second burst, and against refusals after the kill.
+
+    The home is one of them, and its requests come to the others from then on.
+    """
+    limit, killed_at, daemons = quota.Limit(330.0, 330.0), 7.0, _daemons()
+    left = daemons[26:]
+    for factor in (0.62, 4.7):
+        buckets = [quota.Bucket(limit, 0.0, 100.0), None]
+        ran, refused = [], []
+
+        def pattern(now, factor=factor):
+            here = left if now > killed_at else daemons
+            return limit.rate_per_s * factor, here
+
+        for now, daemon in _arrivals(pattern, seed):
+            if now > killed_at and buckets[1] is None:
+                buckets[1] = quota.Bucket(limit, now)
+            is_run = daemon.handle(buckets[now > killed_at], now)
+            (ran if is_run else refused).append(now)
+        assert _most_in_a_window(ran) <= _bound(limit)
+        if factor < 1.0:
+            assert len(refused) <= 0.01 * len(ran)
+
+
 def test_homes_are_spread_and_stay_when_a_daemon_leaves():
     """Guards against tenants that all move when one daemon ends."""
     addresses = [daemon.name for daemon in _daemons()]
