Let a deputy count the zones heard since the home was lost

Change: a deputy counts the zones that it has heard since a daemon came, went or fell out of reach. Result: the test gave the whole rate before, and gives its zones' part now.

--- a/rattangauge/sidecar/quotas.py
+++ b/rattangauge/sidecar/quotas.py
@@ -28,7 +28,7 @@
 # A zone counts as cut off if no message came from it for this time.
 HEARD_S = 1.0
 # Time for which the result of a look at all daemons is used.
-REACH_TTL_S = 0.1
+SHARES_TTL_S = 0.1
 # Scale of the demand in messages.
 DEMAND_SCALE = 1000.0
 
@@ -81,8 +81,9 @@
         self._unreachable: list[str] = []
         self._unreachable_until: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
-        self._reach_share = 1.0
-        self._reach_until = -math.inf
+        self._home_share = 1.0
+        self._deputy_share = 1.0
+        self._shares_until = -math.inf
         # Last time at which another daemon may have become a home.
         self._changed_at = time.monotonic()
         self._tasks = futures.Tasks()
@@ -252,7 +253,8 @@
         if any(self._is_reachable(address) for address in before):
             # The home or another deputy gives the rest.
             return limit.scaled(1.0 / len(ranked))
-        return limit.scaled(self._reachable_share())
+        self._update_shares()
+        return limit.scaled(self._deputy_share if before else self._home_share)
 
     def _record_heard(self, address: str) -> None:
         """Records a message of another daemon."""
@@ -260,23 +262,28 @@
         if peer is not None:
             self._heard_at[peer.member.zone] = time.monotonic()
 
-    def _reachable_share(self) -> float:
-        """Returns the share of the daemons in zones that are not cut off."""
+    def _update_shares(self) -> None:
+        """Updates the shares of the daemons in zones that are not cut off.
+
+        A deputy counts the zones that it has heard since a home may have been
+        lost: until then they may have another deputy.
+        """
         now = time.monotonic()
-        if now < self._reach_until:
-            return self._reach_share
-        self._reach_until = now + REACH_TTL_S
-        own_zone = self._peers.own.member.zone
+        if now < self._shares_until:
+            return
+        self._shares_until = now + SHARES_TTL_S
         members: dict[str, int] = {}
-        heard = {own_zone}
+        own_zone = self._peers.own.member.zone
+        heard_at = {**self._heard_at, own_zone: now}
         for peer in self._peers:
             zone = peer.member.zone
             members[zone] = members.get(zone, 0) + 1
-            last_at = self._heard_at.get(zone, -math.inf)
-            if min(peer.load_age_s(now), now - last_at) <= HEARD_S:
-                heard.add(zone)
-        self._reach_share = quota.reachable_share(members, heard)
-        return self._reach_share
+            reported_at = now - peer.load_age_s(now)
+            heard_at[zone] = max(heard_at.get(zone, -math.inf), reported_at)
+        heard = {z for z, at in heard_at.items() if now - at <= HEARD_S}
+        since = {z for z in heard if heard_at[z] >= self._changed_at}
+        self._home_share = quota.reachable_share(members, heard)
+        self._deputy_share = quota.reachable_share(members, since)
 
     def _is_reachable(self, address: str) -> bool:
         peer = self._peers.get(address)
@@ -312,7 +319,7 @@
         is_first = not self._addresses
         if (addresses, unreachable) != (self._addresses, self._unreachable):
             self._addresses, self._unreachable = addresses, unreachable
-            if not is_first:
+            if unreachable or not is_first:
                 self._changed_at = time.monotonic()
 
     def _record_hold(
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -272,12 +272,31 @@
     assert quotas._buckets["choir"].tokens <= CHOIR.burst / 2
 
 
+async def test_a_deputy_counts_zones_that_it_heard_since_the_home_was_lost():
+    """Guards against both sides of a cut giving the whole rate."""
+    home, other = "10.0.0.2:1", "10.0.0.3:1"
+    own = _own_that_is(1)
+    quotas, table = _quotas(Links(), own)
+    table.add(builders.member("c", mesh=other, zone="zone-2"))
+    ranked = quota.ranking("choir", [own, home, other])
+    for address in ranked[: ranked.index(own)]:
+        table.get(address).member = builders.member(
+            "b", mesh=address, zone="zone-2"
+        )
+        quotas._record_heard(address)
+        table.get(address).record_failure(time.monotonic())
+    assert quotas._limit("choir").rate_per_s < CHOIR.rate_per_s
+    quotas._record_heard(other)
+    quotas._shares_until = 0.0
+    assert quotas._limit("choir").rate_per_s == CHOIR.rate_per_s
+
+
 async def test_a_home_that_was_never_asked_has_its_whole_burst():
     """Guards against requests that are refused below the limit."""
     own = _own_that_is(0)
     quotas, _table = _quotas(Links(), own)
     quotas._changed_at -= 100.0
-    quotas._reach_until = float("inf")
+    quotas._shares_until = float("inf")
     assert quotas._grant("choir", quota.Ask(own, 40, 0.0)).tokens == 40
 
 
