Roll out versions of services by orders in the store

An order of the operator was not read at all, and each new version got calls as soon as it served. Two daemons of each zone follow the orders; one of them leads by conditional writes, tells all daemons the share and collects what their upstreams answered. Share, steps and verdict (sequential tests on failures and on slow answers, by route) are pure decisions. Without the settings section nothing runs.

Tests: 600 loads without a fault and no false verdict, 1,000 with one of five faults and each found; in a small mesh a good version, a bad one, a killed decider, lost answers, a store that is down, a late write, a lost decision.

--- a/benchmarks/capacity/scripted.py
+++ b/benchmarks/capacity/scripted.py
@@ -43,6 +43,7 @@
         calls=generated.Calls(),
         shutdown=generated.Shutdown(),
         log=generated.Log(),
+        rollout=generated.Rollout(),
     )
 
 
--- a/rattangauge/membership/heartbeats.py
+++ b/rattangauge/membership/heartbeats.py
@@ -33,6 +33,7 @@
         is_draining: Whether it is about to leave and accepts no new calls.
         cold_left_s: Remaining time, in seconds, in which it is still slow
             after its start.
+        version: Version of its software; empty if not given.
     """
 
     instance: str
@@ -43,6 +44,7 @@
     slots: int
     is_draining: bool
     cold_left_s: float
+    version: str = ""
 
 
 class Departure(NamedTuple):
@@ -110,6 +112,17 @@
     return known.instance == received.instance and has_same_start
 
 
+def is_cold(upstream: Upstream, now: float) -> bool:
+    """Tells whether an upstream is still slow after its start.
+
+    Args:
+        upstream: State of the upstream.
+        now: Time in seconds.
+    """
+    age_s = now - upstream.received_at
+    return age_s < upstream.heartbeat.cold_left_s
+
+
 def apply_heartbeat(
     known: Upstream | None, received: Heartbeat, now: float
 ) -> Upstream:
@@ -182,6 +195,7 @@
         process_of(upstream),
         heartbeat.service,
         heartbeat.slots,
+        heartbeat.version,
         upstream.is_leaving,
     )
 
--- a/rattangauge/membership/peers.py
+++ b/rattangauge/membership/peers.py
@@ -6,8 +6,10 @@
 process, or by one of a later process.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import math
 
 from rattangauge.calls import placement
@@ -278,6 +280,7 @@
         member.upstream,
         member.watches,
         member.link_kbps,
+        member.upstream_version,
     )
 
 
@@ -298,6 +301,7 @@
         """Creates a table that contains only this daemon."""
         self._revision = 0
         self._serving: dict[str, list[Peer]] = {}
+        self._versions: dict[str, dict[str, int]] = {}
         self.own = self._make_peer(own)
         self._peers: dict[str, Peer] = {own.mesh: self.own}
 
@@ -312,6 +316,7 @@
     def _handle_change(self) -> None:
         self._revision += 1
         self._serving.clear()
+        self._versions.clear()
 
     def __iter__(self) -> Iterator[Peer]:
         """Iterates over all daemons, this one included."""
@@ -395,3 +400,18 @@
                 self._serving.clear()
             self._serving[service] = serving
         return serving
+
+    def serving_versions(self, service: str) -> Mapping[str, int]:
+        """Returns the number of serving instances by version of a service."""
+        versions = self._versions.get(service)
+        if versions is None:
+            versions = dict(
+                collections.Counter(
+                    peer.member.upstream_version
+                    for peer in self.serving(service)
+                )
+            )
+            if len(self._versions) >= MAX_SERVICES:
+                self._versions.clear()
+            self._versions[service] = versions
+        return versions
--- a/rattangauge/metrics.py
+++ b/rattangauge/metrics.py
@@ -77,6 +77,11 @@
     "Unexpected errors in the loops of the daemon.",
     ("loop",),
 )
+ROLLOUT_SHARE = prometheus_client.Gauge(
+    "rattangauge_rollout_share",
+    "Share of a service's calls that this daemon sends to a new version.",
+    ("service",),
+)
 CONTROL_BYTES = prometheus_client.Counter(
     "rattangauge_control_bytes",
     "Bytes of control messages between daemons.",
--- a/rattangauge/net/connections.py
+++ b/rattangauge/net/connections.py
@@ -488,5 +488,6 @@
         | messages.EditionRequest
         | messages.ZoneExchange
         | messages.PeerNews
-        | messages.QuotaRequest,
+        | messages.QuotaRequest
+        | messages.RolloutState,
     )
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -29,6 +29,7 @@
 from rattangauge.sidecar import quotas as quotas_module
 from rattangauge.sidecar import rejections
 from rattangauge.sidecar import responses
+from rattangauge.sidecar import rollouts as rollouts_module
 from rattangauge.sidecar import spillover
 from rattangauge.sidecar import upstreamchoice
 
@@ -60,6 +61,7 @@
         links: connection_pool.Links,
         peers: peers_module.PeerTable,
         local_upstream: localupstream.LocalUpstream,
+        rollouts: rollouts_module.Rollouts,
         memory: receivememory.ReceiveMemory,
         zone_loads: zone_loads_module.ZoneLoads,
         log: decisionlog.DecisionLog,
@@ -82,6 +84,7 @@
             settings,
             links,
             peers,
+            rollouts,
             self._call_log,
             self._random,
             spillover.Spillover(peers, zone_loads, self._random, log),
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -31,6 +31,7 @@
 from rattangauge.sidecar import headernames
 from rattangauge.sidecar import linkpacer
 from rattangauge.sidecar import receivebudget
+from rattangauge.sidecar import rolloutanswers
 from rattangauge.sidecar import upstreamhttp
 from rattangauge.sidecar import upstreamrate
 
@@ -90,6 +91,7 @@
         self._call_numbers = itertools.count(1)
         # Names of the tenants of the requests that run, by id of the request.
         self._running_tenants: dict[bytes, str] = {}
+        self._answer_counts = rolloutanswers.AnswerCounts()
         self._is_stopping = False
         self._reported_change = anyio.Event()
 
@@ -130,6 +132,11 @@
         route_hold_s = self._queue.hold_s(request.open.route)
         return self.load._replace(kind_us=int(route_hold_s * 1e6))
 
+    @property
+    def answer_counts(self) -> rolloutanswers.AnswerCounts:
+        """Counts of the answers during a roll-out of the service."""
+        return self._answer_counts
+
     @property
     def running(self) -> int:
         """Number of calls that run on the upstream or wait for a slot."""
@@ -195,6 +202,7 @@
                 state=self.state.name.lower(),
                 sequence=heartbeat.sequence,
                 slots=heartbeat.slots,
+                software=heartbeat.version,
             )
         )
 
@@ -274,7 +282,10 @@
             self._memory.pin(len(request.open.body))
             try:
                 with self._link_pacer.expect(transfer.size):
-                    answer = await self._exchange(client, upstream, request)
+                    exchanged = self._exchange(client, upstream, request)
+                    answer = await self._answer_counts.measure(
+                        call_open.route, upstream, exchanged
+                    )
             finally:
                 self._memory.unpin(len(request.open.body))
             status = answer.status
--- a/rattangauge/sidecar/node.py
+++ b/rattangauge/sidecar/node.py
@@ -36,6 +36,9 @@
 from rattangauge.sidecar import linkpacer
 from rattangauge.sidecar import localupstream
 from rattangauge.sidecar import peerexchange
+from rattangauge.sidecar import rollouts as rollouts_module
+from rattangauge.sidecar import rolloutstores
+from rattangauge.sidecar import rolloutwatch
 from rattangauge.sidecar import stores
 
 # Time between two checks whether all requests have ended.
@@ -73,6 +76,7 @@
         settings: settings_module.Settings,
         header_names: headernames.HeaderNames,
         store: stores.Store,
+        rollout_store: rolloutstores.RolloutStore,
         read_announcement: ReadAnnouncement,
         log: decisionlog.DecisionLog,
         tasks: anyio.abc.TaskGroup,
@@ -83,6 +87,7 @@
             settings: Settings of the daemon.
             header_names: Names of the HTTP headers of the platform.
             store: Store of the platform.
+            rollout_store: The same store, for roll-outs.
             read_announcement: Parses a request of the upstream.
             log: Log of decisions.
             tasks: Task group that runs the keepalive checks of connections to
@@ -104,12 +109,16 @@
             settings, header_names, self._memory, self._link_pacer, log
         )
         self._zone_loads = zone_loads.ZoneLoads()
+        self._rollouts = rollouts_module.Rollouts(
+            settings, self._peers, self._local_upstream, log
+        )
         self._dispatcher = dispatch_module.Dispatcher(
             settings,
             header_names,
             self._links,
             self._peers,
             self._local_upstream,
+            self._rollouts,
             self._memory,
             self._zone_loads,
             log,
@@ -132,6 +141,14 @@
             self._zone_loads,
             log,
         )
+        self._rollout_watch = rolloutwatch.RolloutWatch(
+            settings,
+            rollout_store,
+            self._peers,
+            self._links,
+            self._rollouts,
+            log,
+        )
         self._caller_server = server_module.Server(
             self._dispatcher.handle,
             lambda: self._dispatcher.limits,
@@ -161,6 +178,7 @@
             self._start_servers(tasks, listeners)
             tasks.start_soon(self._config_sync.run)
             tasks.start_soon(self._peer_exchange.run)
+            tasks.start_soon(self._rollout_watch.run)
             loguru.logger.info("the daemon started")
             await self._stopping.wait()
             await self._drain()
@@ -309,6 +327,8 @@
             await self._peer_exchange.handle_report(stream, message)
         elif isinstance(message, messages.QuotaRequest):
             await self._dispatcher.quotas.serve(stream, message)
+        elif isinstance(message, messages.RolloutState):
+            await self._rollouts.serve(stream, message)
         elif isinstance(message, messages.EditionRequest):
             await self._config_sync.serve(stream, message)
 
@@ -362,6 +382,7 @@
     settings: settings_module.Settings,
     header_names: headernames.HeaderNames,
     store: stores.Store,
+    rollout_store: rolloutstores.RolloutStore,
     read_announcement: ReadAnnouncement,
     log: decisionlog.DecisionLog,
     reload: Reload,
@@ -372,6 +393,7 @@
         settings: Settings of the daemon.
         header_names: Names of the HTTP headers of the platform.
         store: Store of the platform.
+        rollout_store: The same store, for roll-outs.
         read_announcement: Parses a request of the upstream to the control
             address.
         log: Log of decisions.
@@ -381,7 +403,13 @@
         supervision.watch_callbacks(log.record)
         tasks.start_soon(supervision.run, log.record, _LOG_LOOP, log.run)
         node = Node(
-            settings, header_names, store, read_announcement, log, tasks
+            settings,
+            header_names,
+            store,
+            rollout_store,
+            read_announcement,
+            log,
+            tasks,
         )
         guarded = supervision.guard(log.record, _RELOAD, reload)
         tasks.start_soon(process_signals.handle, node.stop, guarded)
--- a/rattangauge/sidecar/peerexchange.py
+++ b/rattangauge/sidecar/peerexchange.py
@@ -179,9 +179,11 @@
         upstream = self._local_upstream.upstream
         service = self._settings.instance.service
         slots = 0
+        upstream_version = ""
         if upstream is not None:
             service = service or upstream.heartbeat.service
             slots = upstream.heartbeat.slots
+            upstream_version = upstream.heartbeat.version
         state = messages.MemberState.ALIVE
         if self._is_stopping:
             state = messages.MemberState.LEFT
@@ -192,6 +194,7 @@
             upstream=self._local_upstream.state,
             version=self._config_sync.version,
             watches=self._config_sync.is_watching,
+            upstream_version=upstream_version,
             counter=own.member.counter + 1,
         )
         load = self._local_upstream.load
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -12,6 +12,7 @@
 from rattangauge.sidecar import calllog
 from rattangauge.sidecar import incomingcall
 from rattangauge.sidecar import linkpacer
+from rattangauge.sidecar import rollouts as rollouts_module
 from rattangauge.sidecar import spillover
 
 # A call is refused without asking the instance if a load report that is younger
@@ -31,6 +32,7 @@
         settings: settings_module.Settings,
         links: connection_pool.Links,
         peers: peers_module.PeerTable,
+        rollouts: rollouts_module.Rollouts,
         call_log: calllog.CallLog,
         random: random_module.Random,
         spill: spillover.Spillover,
@@ -39,6 +41,7 @@
         self._settings = settings
         self._links = links
         self._peers = peers
+        self._rollouts = rollouts
         self._call_log = call_log
         self._random = random
         self._spill = spill
@@ -144,7 +147,7 @@
         zone = self._settings.instance.zone
         local: list[peers_module.Peer] = []
         remote: list[peers_module.Peer] = []
-        for peer in self._peers.serving(service):
+        for peer in self._rollouts.serving(service, bool(tried)):
             if peer.member.mesh not in tried:
                 (local if peer.member.zone == zone else remote).append(peer)
         return local, remote
--- a/rattangauge/sidecar/watchers.py
+++ b/rattangauge/sidecar/watchers.py
@@ -129,3 +129,8 @@
         ttl_s: Time for which what a watcher said counts, in seconds.
     """
     return len(confirmed(own_sources, now, ttl_s)) < MIN_CONFIRMED
+
+
+def first(peers: peers_module.PeerTable, count: int) -> list[peers_module.Peer]:
+    """Returns the daemons of the own zone that are the first to be watchers."""
+    return _zone_watchers(_zone_peers(peers))[:count]
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -28,12 +28,15 @@
     linkEnd @21 :LinkEnd;
     quotaRequest @22 :QuotaRequest;
     quotaGrant @23 :QuotaGrant;
+    rolloutState @24 :RolloutState;
+    rolloutReport @25 :RolloutReport;
   }
 }
 
 enum Outcome { ran @0; notRun @1; unknown @2; }
 enum CallClass { short @0; long @1; }
 enum MemberState { alive @0; suspect @1; dead @2; left @3; }
+enum RolloutPhase { active @0; completed @1; rolledBack @2; }
 enum UpstreamState { absent @0; starting @1; serving @2; draining @3; down @4; }
 
 struct Header { name @0 :Data; value @1 :Data; }
@@ -121,6 +124,7 @@
   rejectedCode @13 :Text;
   watches @14 :Bool;     # whether the member watches the store and hears it
   linkKbps @15 :UInt32;  # rate of the instance's network link; 0 if unknown
+  upstreamVersion @16 :Text;  # version of the upstream's software, or empty
 }
 
 # A worker that other zones may send calls to.
@@ -224,6 +228,32 @@
   busy @2 :UInt32;      # calls that run or wait
 }
 
+# Present state of the roll-out of a service, from the daemon that decides.
+struct RolloutState {
+  service @0 :Text;
+  target @1 :Text;       # version that is rolled out
+  created @2 :UInt64;    # revision of the store that created the order
+  sequence @3 :UInt64;   # grows with each decision
+  shareMillis @4 :UInt32;  # share of the calls to the target, in 1/1000
+  phase @5 :RolloutPhase;
+}
+# Answers of an upstream to the calls of one route since the order.
+struct RouteAnswers {
+  route @0 :Text;
+  count @1 :UInt32;
+  failures @2 :UInt32;
+  held @3 :List(UInt32);  # number of answers by class of time
+}
+struct RolloutReport {
+  mesh @0 :Text;         # of the sender
+  incarnation @1 :UInt64;
+  created @2 :UInt64;    # of the state that the sender has
+  sequence @3 :UInt64;
+  version @4 :Text;      # of its upstream, if that runs the service
+  running @5 :UInt32;    # calls that run or wait there
+  routes @6 :List(RouteAnswers);
+}
+
 # Report of a daemon about itself to its peers.
 struct PeerNews {
   member @0 :Member;
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -61,11 +61,16 @@
         self.address = f"127.0.0.1:{port}"
         tasks.start_soon(server_module.Server(self._handle).serve, listener)
 
-    def put(self, kind: str, name: str, spec: Any) -> None:
+    def put(self, kind: str, name: str, spec: Any, status: Any = None) -> None:
         """Writes an object."""
         self._revision += 1
-        metadata = {"name": name, "revision": self._revision}
-        item = {"metadata": metadata, "spec": spec, "status": None}
+        before = self._objects.get(kind, {}).get(name, {}).get("metadata", {})
+        metadata = {
+            "name": name,
+            "revision": self._revision,
+            "create-rev": before.get("create-rev", self._revision),
+        }
+        item = {"metadata": metadata, "spec": spec, "status": status}
         self._objects.setdefault(kind, {})[name] = item
         event = {"object": item, "deleted": False}
         self._history.append((self._revision, kind, event))
@@ -75,6 +80,10 @@
         """Returns the names of the objects of a kind."""
         return sorted(self._objects.get(kind, {}))
 
+    def get(self, kind: str, name: str) -> Any:
+        """Returns an object; None if there is none."""
+        return self._objects.get(kind, {}).get(name)
+
     def delete(self, kind: str, name: str) -> None:
         """Removes an object."""
         item = self._objects.get(kind, {}).pop(name, None)
@@ -144,8 +153,18 @@
         name = body["metadata"]["name"]
         if request.method == "POST" and name in self._objects.get(kind, {}):
             return _reply(409, self._objects[kind][name])
-        self.put(kind, name, body["spec"])
-        return _reply(200, self._objects[kind][name])
+        known = self.get(kind, name)
+        revision = body["metadata"].get("revision")
+        if known and revision not in (None, known["metadata"]["revision"]):
+            return _reply(409, known)
+        if known is None and request.method == "PUT":
+            return _reply(404)
+        if parts[-1] == "status":
+            self.put(kind, name, known["spec"], body["status"])
+        else:
+            status = known["status"] if known else None
+            self.put(kind, name, body["spec"], status)
+        return _reply(200, self.get(kind, name))
 
     async def _watch(
         self, kind: str, query: dict[str, str]
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -11,6 +11,7 @@
 import httpx
 from rattangauge_platform import announcements
 from rattangauge_platform import headers
+from rattangauge_platform import rollouts
 from rattangauge_platform import store as store_module
 
 from rattangauge import decisionlog
@@ -72,6 +73,7 @@
         calls=generated.Calls(),
         shutdown=generated.Shutdown(limit_s=4.0),
         log=generated.Log(),
+        rollout=generated.Rollout(),
     )
 
 
@@ -123,10 +125,12 @@
                 verify=False,
             )
             async with client, anyio.create_task_group() as tasks:
+                store = store_module.ObjectStore(client)
                 self.node = node_module.Node(
                     self.settings,
                     headers.HEADER_NAMES,
-                    store_module.ObjectStore(client),
+                    store,
+                    rollouts.RolloutObjects(store),
                     announcements.parse,
                     self.log,
                     tasks,
@@ -147,7 +151,7 @@
                 method, f"http://{address}{target}", content=body
             )
 
-    def heartbeat_body(self, state="ready", slots=4, born=1000):
+    def heartbeat_body(self, state="ready", slots=4, born=1000, version="v1"):
         """Returns the body of the next heartbeat of the upstream."""
         self._heartbeat_sequence += 1
         return {
@@ -155,7 +159,7 @@
             "born": born,
             "info": {
                 "service": self.service,
-                "version": "v1",
+                "version": version,
                 "zone": self.settings.instance.zone,
                 "slots": slots,
             },
@@ -314,6 +318,14 @@
 
         await self.wait(is_ready)
 
+    async def wait_ready_of(self, names):
+        """Waits until the daemons of some instances are ready."""
+
+        async def are_ready():
+            return all([await self.instances[n].is_ready() for n in names])
+
+        await self.wait(are_ready)
+
     async def send_heartbeats(self, **fields):
         """Sends a heartbeat of each upstream and gives peers time to hear."""
         for instance in self.instances.values():
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -35,6 +35,7 @@
         calls=generated.Calls(),
         shutdown=generated.Shutdown(),
         log=generated.Log(),
+        rollout=generated.Rollout(),
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -321,6 +321,15 @@
         "#bounds.retry-budget-slack": "",
         "bounds.retry-budget-slack": "60",
         "/bounds.retry-budget-slack": "",
+        "#bounds.expose-share": "",
+        "bounds.expose-share": "0.1",
+        "/bounds.expose-share": "",
+        "#bounds.expose-slack": "",
+        "bounds.expose-slack": "50",
+        "/bounds.expose-slack": "",
+        "#bounds.rollback-s": "",
+        "bounds.rollback-s": "5",
+        "/bounds.rollback-s": "",
     }
     return re.sub(
         r"\{\{([^}]*)\}\}",
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -89,8 +89,8 @@
         self.default = "()"
         count = f'items = builder.init("{self.wire}", len(value.{self.name}))'
         loop = f"for index, item in enumerate(value.{self.name}):"
-        if kind == "text":
-            self.type = "tuple[str, ...]"
+        if kind in SCALARS:
+            self.type = f"tuple[{SCALARS[kind][0]}, ...]"
             self.read = f"tuple(reader.{self.wire})"
             self.write = [count, loop, "    items[index] = item"]
             return
