--- a/rattangauge/calls/rollout_share.py
+++ b/rattangauge/calls/rollout_share.py
@@ -9,11 +9,13 @@
 from typing import NamedTuple
 
 from rattangauge.generated import messages
+from rattangauge.generated import settings as generated
 
 # A share that was not confirmed for the first time falls to the smallest step,
-# after the second one to nothing.
-UNCONFIRMED_S = 2.0
-EXPIRED_S = 4.0
+# after the second one to nothing; both as parts of the setting
+# ``rollout.rollback_s``.
+UNCONFIRMED = 0.4
+EXPIRED = 0.8
 # Smallest step, as a part of the share to which a version may be exposed.
 SMALLEST_STEP = 0.4
 
@@ -41,7 +43,9 @@
     return SMALLEST_STEP * expose_share
 
 
-def effective_share(view: View, smallest: float, now: float) -> float:
+def effective_share(
+    view: View, rollout: generated.Rollout, now: float
+) -> float:
     """Returns the share of the calls that the target version gets.
 
     A share that was not confirmed for a while shrinks: this daemon may not have
@@ -49,14 +53,16 @@
 
     Args:
         view: Roll-out of the service.
-        smallest: Share of the smallest step.
+        rollout: Settings of roll-outs.
         now: Monotonic time in seconds.
     """
     share = view.state.share_millis / 1000
     age_s = now - view.confirmed_at
-    if age_s > EXPIRED_S:
+    if age_s > EXPIRED * rollout.rollback_s:
         return 0.0
-    return min(share, smallest) if age_s > UNCONFIRMED_S else share
+    if age_s > UNCONFIRMED * rollout.rollback_s:
+        return min(share, smallest_share(rollout.expose_share))
+    return share
 
 
 def is_newer(state: messages.RolloutState, known: View | None) -> bool:
@@ -70,13 +76,13 @@
 class VersionRouting:
     """Versions that the calls of this daemon may be sent to."""
 
-    def __init__(self, expose_share: float) -> None:
+    def __init__(self, rollout: generated.Rollout) -> None:
         """Creates the state without roll-outs.
 
         Args:
-            expose_share: Largest share of all calls that a bad version may get.
+            rollout: Settings of roll-outs.
         """
-        self._smallest = smallest_share(expose_share)
+        self._rollout = rollout
         self._views: dict[str, View] = {}
         # Version of each service that gets calls without an order.
         self._established: dict[str, str] = {}
@@ -126,7 +132,7 @@
             return serving
         if state.phase == _Phase.COMPLETED:
             return (state.target,)
-        share = effective_share(view, self._smallest, now)
+        share = effective_share(view, self._rollout, now)
         if share >= 1.0 or (not is_repeat and self._is_due(service, share)):
             return (state.target,)
         return others
--- a/rattangauge/calls/rollout_steps.py
+++ b/rattangauge/calls/rollout_steps.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from rattangauge.calls import rollout_share
+from rattangauge.generated import settings as generated
 
 # Shares of the steps after the first one.
 LATER_SHARES = (0.2, 0.5, 1.0)
@@ -16,6 +17,8 @@
 FIRST_STEP_GOOD = 0.35
 FIRST_STEP = 0.42
 LATER_STEP = 0.05
+# Part of the slack of the exposure that the first calls may use up.
+FAST_SLACK = 0.5
 # A suspect version is not held back longer than this part of the time limit.
 HOLD_SUSPECT = 0.6
 # A step is not shorter, so that reports of it can arrive.
@@ -41,14 +44,27 @@
     duration_s: float
 
 
-def share(step: int, expose_share: float) -> float:
+def share(step: int, rollout: generated.Rollout, answers: int) -> float:
     """Returns the share of the calls that a step gives the new version.
 
-    >>> [share(step, 0.1) for step in range(4)]
+    The first calls of the first step come faster: a service with few calls
+    would not show in time that the version is bad.
+
+    Args:
+        step: Number of the step.
+        rollout: Settings of roll-outs.
+        answers: Answers that the new version has given.
+
+    >>> rollout = generated.Rollout(0.1, 50, 5.0)
+    >>> share(0, rollout, answers=0)
+    0.1
+    >>> [round(share(step, rollout, answers=99), 3) for step in range(4)]
     [0.04, 0.2, 0.5, 1.0]
     """
     if not step:
-        return rollout_share.smallest_share(expose_share)
+        if answers < FAST_SLACK * rollout.expose_slack:
+            return rollout.expose_share
+        return rollout_share.smallest_share(rollout.expose_share)
     return LATER_SHARES[min(step, len(LATER_SHARES)) - 1]
 
 
--- a/rattangauge/calls/rollout_verdict.py
+++ b/rattangauge/calls/rollout_verdict.py
@@ -181,6 +181,12 @@
         """Creates a judgement without answers."""
         self._routes: dict[str, _RouteTest] = {}
         self._instances: set[str] = set()
+        self._new_answers = 0
+
+    @property
+    def new_answers(self) -> int:
+        """Number of answers of the new version."""
+        return self._new_answers
 
     def add(
         self, instance: str, route: str, answers: Answers, is_new: bool
@@ -200,6 +206,7 @@
         test = self._routes.setdefault(route, _RouteTest())
         if is_new:
             self._instances.add(instance)
+            self._new_answers += answers.count
             test.add_new(instance, answers)
         else:
             test.add_old(answers)
--- a/rattangauge/sidecar/rolloutdecider.py
+++ b/rattangauge/sidecar/rolloutdecider.py
@@ -24,10 +24,10 @@
 from rattangauge.sidecar import rollouts as rollouts_module
 from rattangauge.sidecar import rolloutstores
 
-# Another daemon takes over if it has heard of no state for this time. The one
-# that leads ceases if it has not read its decision for the second time.
-TAKE_OVER_S = 2.0
-LEASE_S = 2.0
+# Another daemon takes over if it has heard of no state for this time, and the
+# one that leads ceases if it has not read its decision for as long. It is a
+# part of the setting ``rollout.rollback_s``.
+LEASE = 0.4
 # Time between two reads of the decision by the daemon that leads.
 READ_S = 1.0
 # Daemons that may decide first wait for a random part of this time, so that
@@ -56,7 +56,8 @@
         order: rolloutstores.Order,
     ) -> None:
         """Creates the state of an order that was seen just now."""
-        self._settings = settings
+        self._rollout = settings.rollout
+        self._lease_s = LEASE * settings.rollout.rollback_s
         self._store = store
         self._peers = peers
         self._rollouts = rollouts
@@ -112,7 +113,7 @@
     def _has_lease(self) -> bool:
         decision = self.decision
         is_own = decision is not None and decision.decider == self._identity
-        return is_own and time.monotonic() - self._confirmed_at < LEASE_S
+        return is_own and time.monotonic() - self._confirmed_at < self._lease_s
 
     def apply(self, stored: rolloutstores.Stored, is_read: bool) -> None:
         """Applies a decision of the store.
@@ -144,7 +145,7 @@
             self._take_over_at = now
             return
         self._stored = stored
-        self._take_over_at = now + TAKE_OVER_S + self._spread_s()
+        self._take_over_at = now + self._lease_s + self._spread_s()
         current = self.decision
         if current is None:
             self._take_over_at = now + self._spread_s()
@@ -168,8 +169,11 @@
             decision.phase == _Phase.ACTIVE
             and not self._reports.judgement.bad_route
         ):
-            expose_share = self._settings.rollout.expose_share
-            share = rollout_steps.share(decision.step, expose_share)
+            share = rollout_steps.share(
+                decision.step,
+                self._rollout,
+                self._reports.judgement.new_answers,
+            )
         return messages.RolloutState(
             service=decision.service,
             target=decision.target,
@@ -188,10 +192,10 @@
         now = time.monotonic()
         view = self._rollouts.view(self._order.service)
         heard_at = view.confirmed_at if view else -math.inf
-        if now - heard_at < TAKE_OVER_S:
+        if now - heard_at < self._lease_s:
             # The daemons that have heard the same do not act at once.
             self._take_over_at = max(
-                self._take_over_at, heard_at + TAKE_OVER_S + self._spread_s()
+                self._take_over_at, heard_at + self._lease_s + self._spread_s()
             )
         return now >= self._take_over_at
 
--- a/rattangauge/sidecar/rollouts.py
+++ b/rattangauge/sidecar/rollouts.py
@@ -38,9 +38,8 @@
         self._peers = peers
         self._local_upstream = local_upstream
         self._log = log
-        expose_share = settings.rollout.expose_share
-        self._is_enabled = expose_share > 0.0
-        self._routing = rollout_share.VersionRouting(expose_share)
+        self._is_enabled = settings.rollout.expose_share > 0.0
+        self._routing = rollout_share.VersionRouting(settings.rollout)
 
     @property
     def is_enabled(self) -> bool:
--- a/tests/test_rollout_share.py
+++ b/tests/test_rollout_share.py
@@ -5,6 +5,7 @@
 from rattangauge.calls import rollout_share
 from rattangauge.calls import rollout_steps
 from rattangauge.generated import messages
+from rattangauge.generated import settings as generated
 
 BOTH = {"v1": 5, "v2": 5}
 PHASES = messages.RolloutPhase
@@ -20,7 +21,7 @@
 
 def routing(*states, now=0.0):
     """Returns a routing that has got states at a time."""
-    result = rollout_share.VersionRouting(0.1)
+    result = rollout_share.VersionRouting(generated.Rollout(0.1, 50, 5.0))
     for item in states:
         result.update(item, now)
     return result
