--- a/tests/test_call_outcomes.py
+++ b/tests/test_call_outcomes.py
@@ -89,7 +89,9 @@
         """Creates a dispatcher for one call."""
         log = decisionlog.DecisionLog("own", "zone-1", len)
         loads = zone_loads.ZoneLoads()
-        super().__init__(settings, NAMES, None, peers, None, None, loads, log)
+        super().__init__(
+            settings, NAMES, None, peers, None, None, None, loads, log
+        )
         self._cases = list(cases)
         self._upstreams.choose = self._choose_untried
         self.runs = 0
