Move the calls that wait for a slot to a module of their own

Change: the futures and the timer of waiting calls are in slotwaiters.py. Result: no change of behaviour intended; tests of the sidecar, named rates, dispatch and paced answers pass.

--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -4,7 +4,6 @@
 more requests at a time than it announces.
 """
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import itertools
@@ -13,7 +12,6 @@
 import anyio
 
 from rattangauge import decisionlog
-from rattangauge import futures
 from rattangauge import metrics
 from rattangauge import receivememory
 from rattangauge import settings as settings_module
@@ -32,13 +30,12 @@
 from rattangauge.sidecar import linkpacer
 from rattangauge.sidecar import receivebudget
 from rattangauge.sidecar import rolloutanswers
+from rattangauge.sidecar import slotwaiters
 from rattangauge.sidecar import upstreamhttp
 from rattangauge.sidecar import upstreamrate
 
 # Longest queue, in calls for each slot of the upstream.
 MAX_QUEUED_PER_SLOT = 4
-# Shortest delay of a timer.
-MIN_TIMER_S = 0.001
 # Longest time of the network link in a load report.
 MAX_LINK_US = 2**32 - 1
 
@@ -83,11 +80,7 @@
         self._client: client_module.Client | None = None
         self._queue = call_queue.Queue(0, 0)
         self._named_rate = upstreamrate.NamedRate("")
-        # Starts the next call that waits for the limit on the rate.
-        self._start_timer: asyncio.TimerHandle | None = None
-        # Futures of the calls that wait for a slot, by number of the call. The
-        # result is whether the call got a slot.
-        self._slot_futures: dict[int, asyncio.Future[bool]] = {}
+        self._slot_waiters = slotwaiters.SlotWaiters(lambda: self._queue)
         self._call_numbers = itertools.count(1)
         # Names of the tenants of the requests that run, by id of the request.
         self._running_tenants: dict[bytes, str] = {}
@@ -191,7 +184,7 @@
         was_leaving = previous is not None and previous.is_leaving
         if current.is_leaving and (is_new or not was_leaving):
             if not self._queue.is_closed:
-                self._resume(self._queue.close())
+                self._slot_waiters.resume(self._queue.close())
             self._receptions.drain()
 
     def _record_change(self, heartbeat: heartbeats.Heartbeat) -> None:
@@ -212,7 +205,7 @@
         The calls that wait for the old process are refused.
         """
         if not self._queue.is_closed:
-            self._resume(self._queue.close())
+            self._slot_waiters.resume(self._queue.close())
         self._receptions.cancel()
         self._named_rate = upstreamrate.NamedRate(heartbeat.instance)
         max_queued = MAX_QUEUED_PER_SLOT * heartbeat.slots
@@ -230,7 +223,7 @@
     def stop(self) -> None:
         """Refuses all waiting calls and all that arrive from now on."""
         self._is_stopping = True
-        self._resume(self._queue.close())
+        self._slot_waiters.resume(self._queue.close())
 
     async def run(
         self, request: exchange.Request, respond: exchange.Respond
@@ -274,7 +267,9 @@
         enqueued_at = started_at = received_at = time.monotonic()
         status = 0
         try:
-            await self._wait_for_slot(queue, waiter, request)
+            if not await self._slot_waiters.wait(queue, waiter):
+                text = "the call cannot be served in time"
+                raise self._refuse(request, text)
             started_at = time.monotonic()
             request = await self._receive_body_in_turn(request)
             received_at = time.monotonic()
@@ -295,7 +290,7 @@
             queue.withdraw(waiter)
             now = time.monotonic()
             held_s = now - started_at if status else 0.0
-            self._resume(queue.finish(waiter, held_s, now))
+            self._slot_waiters.resume(queue.finish(waiter, held_s, now))
         metrics.observe_queue(call_open, started_at - enqueued_at)
         metrics.observe_service(call_open, held_s)
         self._log.record(
@@ -365,66 +360,6 @@
             raise self._refuse(request, "the network link is busy for too long")
         return waiter
 
-    async def _wait_for_slot(
-        self,
-        queue: call_queue.Queue,
-        waiter: call_queue.QueuedCall,
-        request: exchange.Request,
-    ) -> None:
-        """Waits until a call gets a slot of the upstream.
-
-        Raises:
-            exchange.CallFailed: The call got no slot in time.
-        """
-        slot_future = asyncio.get_running_loop().create_future()
-        self._slot_futures[waiter.number] = slot_future
-        try:
-            now = time.monotonic()
-            self._resume(queue.offer(waiter, now))
-            if not slot_future.done():
-                hold_s = queue.hold_s(waiter.kind)
-                limit = call_queue.give_up_at(waiter, hold_s, now)
-                await futures.wait(slot_future, limit)
-            has_slot = slot_future.result()
-        except TimeoutError:
-            has_slot = False
-        finally:
-            del self._slot_futures[waiter.number]
-        if not has_slot:
-            raise self._refuse(request, "the call cannot be served in time")
-
-    def _resume(self, outcome: call_queue.QueueDecision) -> None:
-        """Resumes the calls that got a slot or were refused."""
-        for waiter in outcome.started:
-            self._resume_call(waiter, True)
-        for waiter in outcome.refused:
-            self._resume_call(waiter, False)
-        self._schedule_start()
-
-    def _schedule_start(self) -> None:
-        """Sets the timer for the next call, if the limit on the rate holds it.
-
-        All other waiting calls start when a running one ends.
-        """
-        delay_s = self._queue.next_start_s(time.monotonic())
-        if delay_s is None or self._start_timer is not None:
-            return
-        loop = asyncio.get_running_loop()
-        self._start_timer = loop.call_later(
-            max(MIN_TIMER_S, delay_s), self._start_waiting
-        )
-
-    def _start_waiting(self) -> None:
-        self._start_timer = None
-        self._resume(self._queue.advance(time.monotonic()))
-
-    def _resume_call(
-        self, waiter: call_queue.QueuedCall, has_slot: bool
-    ) -> None:
-        slot_future = self._slot_futures[waiter.number]
-        if not slot_future.done():
-            slot_future.set_result(has_slot)
-
     def _request_id(self, request: exchange.Request) -> bytes:
         for header in request.open.headers:
             if header.name == self._header_names.request_id:
