Check a configuration before it is sent

Cause: the operators want to see errors, entries that can never match, limits that contradict each other and what differs from the version in force.

--- a/rattangauge/cmdline.py
+++ b/rattangauge/cmdline.py
@@ -71,17 +71,26 @@
 
 
 @app.command
-def check(*paths: pathlib.Path, json: Json = False) -> int:
+def check(
+    *paths: pathlib.Path,
+    against: tuple[pathlib.Path, ...] = (),
+    json: Json = False,
+) -> int:
     """Checks object files as a whole set, without the store.
 
+    Entries that can never match, and limits that contradict each other, are
+    notes; they do not change the exit code.
+
     Args:
         paths: TOML files and folders of them.
+        against: File or folder with the objects in force, to show what differs;
+            may be repeated.
         json: Print one JSON document.
     """
     if not paths:
         output.print_error("nothing to check: name files [operators.request]")
         return output.EXIT_USAGE
-    return checking.run(list(paths), json)
+    return checking.run(list(paths), list(against), json)
 
 
 @app.command
--- a/rattangauge/commands/checking.py
+++ b/rattangauge/commands/checking.py
@@ -7,8 +7,10 @@
 from rattangauge import errors
 from rattangauge.commands import output
 from rattangauge.config import check as check_module
+from rattangauge.config import difference
 from rattangauge.config import edition as edition_module
 from rattangauge.config import objects as objects_module
+from rattangauge.config import review
 
 
 class Files(NamedTuple):
@@ -51,13 +53,56 @@
     return []
 
 
-def run(paths: list[pathlib.Path], as_json: bool) -> int:
-    """Checks files, prints all findings and returns the exit code."""
-    findings = check_files(paths)
+class Report(NamedTuple):
+    """What a check found.
+
+    Attributes:
+        findings: Errors, for which a publish would be refused.
+        notes: Entries that do nothing or contradict each other.
+        changes: Differences from the version in force.
+    """
+
+    findings: list[errors.Finding]
+    notes: list[errors.Finding]
+    changes: list[difference.Change]
+
+
+def print_report(report: Report, as_json: bool) -> int:
+    """Prints a report and returns the exit code."""
     if as_json:
-        tables = [finding._asdict() for finding in findings]
-        output.print_json({"findings": tables})
+        tables = {
+            field: [item._asdict() for item in items]
+            for field, items in report._asdict().items()
+        }
+        output.print_json(tables)
     else:
-        for finding in findings:
+        for finding in report.findings:
             print(finding)
-    return output.EXIT_FINDINGS if findings else output.EXIT_OK
+        for note in report.notes:
+            print(f"note: {note}")
+        for change in report.changes:
+            print(change)
+    return output.EXIT_FINDINGS if report.findings else output.EXIT_OK
+
+
+def run(
+    paths: list[pathlib.Path], against: list[pathlib.Path], as_json: bool
+) -> int:
+    """Checks files, prints the report and returns the exit code.
+
+    Args:
+        paths: Files with the objects to check.
+        against: Files with the objects in force; none if they are not known.
+        as_json: Whether the report is printed as one JSON document.
+    """
+    findings = check_files(paths)
+    notes: list[errors.Finding] = []
+    changes: list[difference.Change] = []
+    if not findings:
+        objects = read(paths).objects
+        notes = review.review(objects)
+    if against and not findings:
+        in_force = read(against)
+        findings = in_force.findings
+        changes = difference.difference(in_force.objects, objects)
+    return print_report(Report(findings, notes, changes), as_json)
