Mend what the reviewers of the whole change found

Cause: two readers who had written none of it found faults by reading: a leader of a roll-out could overwrite a newer decision after it waited for reports, told the daemons the end only after the status, and tried to take over ten times a second while the store was away; a third version got calls beside a roll-out; the version that served first was not recorded while it was alone; a long call that waits for reserved slots was woken by nothing; zone sums missed instances whose reports had expired; time spent waiting for memory counted as the time of the upstream. Change: each mended; constants that are shares say so.

--- a/rattangauge/calls/call_queue.py
+++ b/rattangauge/calls/call_queue.py
@@ -221,15 +221,17 @@
         return self._expected_wait_s(self.queued, work_s, now)
 
     def next_start_s(self, now: float) -> float | None:
-        """Returns the time until the limit on the rate lets a call start.
+        """Returns the time until a call may start though none ends before.
 
         Returns:
-            The time in seconds; None if no call waits for that limit alone.
+            The time in seconds; None if all waiting calls wait for a slot that
+            is in use.
         """
-        is_waiting = self._waiting and self.running < self._slots
-        if self._rate is None or not is_waiting:
+        if not self._waiting or self.running >= self._slots:
             return None
-        return self._rate.delay_s(now)
+        if not any(self._has_slot(e.waiter, now) for e in self._waiting):
+            return slot_reserve.CHECK_PERIOD_S
+        return self._rate.delay_s(now) if self._rate is not None else 0.0
 
     def offer(self, waiter: QueuedCall, now: float) -> QueueDecision:
         """Starts, queues or refuses a call.
@@ -242,7 +244,7 @@
             return QueueDecision(refused=(waiter,))
         self._recent.add(waiter.kind, _urgency(waiter), now)
         is_next = not self._waiting or self._can_pass(waiter, now)
-        if is_next and self._has_slot(waiter, now) and self._may_start(now):
+        if is_next and self._has_slot(waiter, now) and self._take_rate(now):
             return QueueDecision(started=(self._start(waiter),))
         rank = (*_rank(waiter), self._calls_of(waiter.tenant))
         entry = _Entry(rank, next(self._arrivals), waiter)
@@ -287,7 +289,7 @@
             if not self._has_slot(waiter, now):
                 index += 1
                 continue
-            if not self._may_start(now):
+            if not self._take_rate(now):
                 break
             del self._waiting[index]
             started.append(self._start(waiter))
@@ -350,10 +352,8 @@
             self._has_slot(entry.waiter, now) for entry in self._waiting
         )
 
-    def _may_start(self, now: float) -> bool:
-        """Tells whether a call may start; takes it from the rate if so."""
-        if self.running >= self._slots:
-            return False
+    def _take_rate(self, now: float) -> bool:
+        """Takes a start from the limit on the rate; tells whether it may be."""
         return self._rate is None or self._rate.take(now)
 
     def _start(self, waiter: QueuedCall) -> QueuedCall:
--- a/rattangauge/calls/rollout_share.py
+++ b/rattangauge/calls/rollout_share.py
@@ -14,10 +14,10 @@
 # A share that was not confirmed for the first time falls to the smallest step,
 # after the second one to nothing; both as parts of the setting
 # ``rollout.rollback_s``.
-UNCONFIRMED = 0.4
-EXPIRED = 0.8
+UNCONFIRMED_SHARE = 0.4
+EXPIRED_SHARE = 0.8
 # Smallest step, as a part of the share to which a version may be exposed.
-SMALLEST_STEP = 0.4
+SMALLEST_STEP_SHARE = 0.4
 
 _Phase = messages.RolloutPhase
 
@@ -40,7 +40,7 @@
     Args:
         expose_share: Largest share of all calls that a bad version may get.
     """
-    return SMALLEST_STEP * expose_share
+    return SMALLEST_STEP_SHARE * expose_share
 
 
 def effective_share(
@@ -58,9 +58,9 @@
     """
     share = view.state.share_millis / 1000
     age_s = now - view.confirmed_at
-    if age_s > EXPIRED * rollout.rollback_s:
+    if age_s > EXPIRED_SHARE * rollout.rollback_s:
         return 0.0
-    if age_s > UNCONFIRMED * rollout.rollback_s:
+    if age_s > UNCONFIRMED_SHARE * rollout.rollback_s:
         return min(share, smallest_share(rollout.expose_share))
     return share
 
@@ -120,22 +120,28 @@
             is_repeat: Whether an instance has had the call already. Repeats
                 are no part of the share.
             now: Monotonic time in seconds.
+
+        Returns:
+            The versions; none if no serving one may get the call.
         """
         view = self._views.get(service)
         if view is None:
             return (self._establish(service, serving),)
         state = view.state
-        others = [v for v in serving if v != state.target]
-        if state.phase == _Phase.ROLLED_BACK:
-            return others
-        if not others or state.target not in serving:
-            return serving
-        if state.phase == _Phase.COMPLETED:
+        if state.phase == _Phase.COMPLETED and state.target in serving:
+            self._established[service] = state.target
             return (state.target,)
+        others = {v: n for v, n in serving.items() if v != state.target}
+        if not others:
+            return () if state.phase == _Phase.ROLLED_BACK else serving
+        # Of further versions none has an order.
+        baseline = (self._establish(service, others),)
+        if state.phase == _Phase.ROLLED_BACK or state.target not in serving:
+            return baseline
         share = effective_share(view, self._rollout, now)
         if share >= 1.0 or (not is_repeat and self._is_due(service, share)):
             return (state.target,)
-        return others
+        return baseline
 
     def _is_due(self, service: str, share: float) -> bool:
         """Tells whether the next call is one of the target version's share."""
--- a/rattangauge/calls/rollout_steps.py
+++ b/rattangauge/calls/rollout_steps.py
@@ -14,18 +14,18 @@
 LATER_SHARES = (0.2, 0.5, 1.0)
 # Times as parts of the time limit of the order. The first step ends at the
 # first one if enough answers were good, else at the second.
-FIRST_STEP_GOOD = 0.35
-FIRST_STEP = 0.42
-LATER_STEP = 0.05
+FIRST_STEP_GOOD_SHARE = 0.35
+FIRST_STEP_SHARE = 0.42
+LATER_STEP_SHARE = 0.05
 # Part of the slack of the exposure that the first calls may use up.
 FAST_SLACK = 0.5
 # A suspect version is not held back longer than this part of the time limit.
-HOLD_SUSPECT = 0.6
+HOLD_SUSPECT_SHARE = 0.6
 # A step is not shorter, so that reports of it can arrive.
 MIN_STEP_S = 0.8
 # At this part of the time limit a roll-out is completed although calls may be
 # under way to instances of the old version.
-COMPLETE_ANYWAY = 0.9
+COMPLETE_ANYWAY_SHARE = 0.9
 
 
 class Progress(NamedTuple):
@@ -81,13 +81,16 @@
         is_good: Whether the answers have shown that the version is good.
         is_suspect: Whether the latest ones speak against it.
     """
-    if is_suspect and progress.elapsed_s < HOLD_SUSPECT * progress.duration_s:
+    if (
+        is_suspect
+        and progress.elapsed_s < HOLD_SUSPECT_SHARE * progress.duration_s
+    ):
         return False
     if progress.step_s < MIN_STEP_S or is_last(progress.step):
         return False
     if progress.step:
-        return progress.step_s >= LATER_STEP * progress.duration_s
-    part = FIRST_STEP_GOOD if is_good else FIRST_STEP
+        return progress.step_s >= LATER_STEP_SHARE * progress.duration_s
+    part = FIRST_STEP_GOOD_SHARE if is_good else FIRST_STEP_SHARE
     return progress.elapsed_s >= part * progress.duration_s
 
 
@@ -101,7 +104,7 @@
     """
     if not is_last(progress.step) or progress.step_s < MIN_STEP_S:
         return False
-    if progress.step_s < LATER_STEP * progress.duration_s:
+    if progress.step_s < LATER_STEP_SHARE * progress.duration_s:
         return False
-    latest_s = COMPLETE_ANYWAY * progress.duration_s
+    latest_s = COMPLETE_ANYWAY_SHARE * progress.duration_s
     return is_idle or progress.elapsed_s >= latest_s
--- a/rattangauge/calls/rollout_verdict.py
+++ b/rattangauge/calls/rollout_verdict.py
@@ -12,7 +12,7 @@
 import math
 from typing import NamedTuple
 
-from rattangauge.calls import held_times
+from rattangauge.calls import duration_histogram
 
 # Probability of a wrong verdict in one test: a good version counts as bad, and
 # a bad one as good.
@@ -48,7 +48,7 @@
     Attributes:
         count: Number of answers.
         failures: Those that failed.
-        held: Number of answers by class of time, see ``held_times``.
+        held: Number of answers by class of time, see ``duration_histogram``.
     """
 
     count: int
@@ -56,7 +56,7 @@
     held: Sequence[int]
 
 
-NO_ANSWERS = Answers(0, 0, (0,) * held_times.CLASSES)
+NO_ANSWERS = Answers(0, 0, (0,) * duration_histogram.CLASSES)
 
 
 def subtract(new: Answers, old: Answers) -> Answers:
@@ -144,7 +144,7 @@
         self.slow = SequentialTest()
         self._old_count = 0.0
         self._old_failures = 0.0
-        self._old_held = [0.0] * held_times.CLASSES
+        self._old_held = [0.0] * duration_histogram.CLASSES
 
     def add_old(self, answers: Answers) -> None:
         self._old_count += answers.count
@@ -163,8 +163,8 @@
         old_total = sum(self._old_held)
         if old_total < MIN_OLD_ANSWERS:
             return
-        limit = held_times.median_class(self._old_held)
-        limit += held_times.classes_in(SLOW_FACTOR)
+        limit = duration_histogram.median_class(self._old_held)
+        limit += duration_histogram.classes_in(SLOW_FACTOR)
         share = upper_share(sum(self._old_held[limit:]), old_total)
         slow = sum(answers.held[limit:])
         self.slow.add(instance, sum(answers.held), slow, share)
--- a/rattangauge/calls/slot_reserve.py
+++ b/rattangauge/calls/slot_reserve.py
@@ -18,6 +18,8 @@
 # Slots are reserved for urgent calls that keep at least this share of the slots
 # busy.
 MIN_URGENT_SHARE = 0.01
+# Time between two checks whether slots are still reserved, in seconds.
+CHECK_PERIOD_S = 0.05
 # Time constant of the rate of arrivals, in seconds.
 RATE_MEMORY_S = 1.0
 # Kinds of calls that are remembered; older ones are forgotten first.
--- a/rattangauge/calls/zone_spill.py
+++ b/rattangauge/calls/zone_spill.py
@@ -16,7 +16,7 @@
 # Share of its slots that a zone keeps for the changes of its own demand.
 RESERVED_SHARE = 0.2
 # A report of another zone is no room after this time, in seconds.
-MAX_REPORT_AGE_S = 2.5
+MAX_REPORT_AGE_S = 5.0
 # Time constants of the share, in seconds. It rises fast, since calls wait
 # meanwhile, and falls slowly, so that it does not swing with short waves.
 RISE_S = 0.25
--- a/rattangauge/membership/zone_loads.py
+++ b/rattangauge/membership/zone_loads.py
@@ -25,11 +25,18 @@
         now: Monotonic time in seconds.
     """
     zone = peers.own.member.zone
-    slots = busy = 0
+    slots = known_slots = busy = 0
     for peer in peers.serving(service):
-        if peer.member.zone == zone and not peer.should_avoid(now):
-            slots += peer.slots
+        if peer.member.zone != zone or peer.failures:
+            continue
+        slots += peer.slots
+        is_known = peer.load_age_s(now) <= peers_module.LOAD_EXPIRY_S
+        if is_known or peer is peers.own:
+            known_slots += peer.slots
             busy += peer.outstanding(now)
+    if known_slots:
+        # Instances without a recent report count as busy as the others.
+        busy = round(busy * slots / known_slots)
     return zone_spill.ZoneLoad(slots, busy, now)
 
 
--- a/rattangauge/sidecar/localupstream.py
+++ b/rattangauge/sidecar/localupstream.py
@@ -208,6 +208,7 @@
             self._slot_waiters.resume(self._queue.close())
         self._receptions.cancel()
         self._named_rate = upstreamrate.NamedRate(heartbeat.instance)
+        self._answer_counts.end()
         max_queued = MAX_QUEUED_PER_SLOT * heartbeat.slots
         self._queue = call_queue.Queue(
             heartbeat.slots, max_queued, time.monotonic()
@@ -265,7 +266,7 @@
         waiter = self._make_waiter(request, transfer)
         request_id = self._request_id(request)
         enqueued_at = started_at = received_at = time.monotonic()
-        status = 0
+        status, held_s = 0, 0.0
         try:
             if not await self._slot_waiters.wait(queue, waiter):
                 text = "the call cannot be served in time"
@@ -282,14 +283,14 @@
                         call_open.route, upstream, exchanged
                     )
             finally:
+                self._running_tenants.pop(request_id, None)
                 self._memory.unpin(len(request.open.body))
             status = answer.status
+            held_s = time.monotonic() - started_at
             await wait_for_room(request.deadline)
         finally:
-            self._running_tenants.pop(request_id, None)
             queue.withdraw(waiter)
             now = time.monotonic()
-            held_s = now - started_at if status else 0.0
             self._slot_waiters.resume(queue.finish(waiter, held_s, now))
         metrics.observe_queue(call_open, started_at - enqueued_at)
         metrics.observe_service(call_open, held_s)
--- a/rattangauge/sidecar/rolloutanswers.py
+++ b/rattangauge/sidecar/rolloutanswers.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable
 import time
 
+from rattangauge.calls import duration_histogram
 from rattangauge.calls import exchange
-from rattangauge.calls import held_times
 from rattangauge.generated import errorcodes
 from rattangauge.generated import messages
 from rattangauge.membership import heartbeats
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.count = 0
         self.failures = 0
-        self.held = [0] * held_times.CLASSES
+        self.held = [0] * duration_histogram.CLASSES
 
 
 class AnswerCounts:
@@ -98,7 +98,7 @@
         counts.count += 1
         counts.failures += is_failure
         if not is_cold and not is_failure:
-            counts.held[held_times.class_of(held_s)] += 1
+            counts.held[duration_histogram.class_of(held_s)] += 1
 
     def report(self) -> tuple[messages.RouteAnswers, ...]:
         """Returns the counts."""
--- a/rattangauge/sidecar/rolloutdecider.py
+++ b/rattangauge/sidecar/rolloutdecider.py
@@ -27,7 +27,7 @@
 # Another daemon takes over if it has heard of no state for this time, and the
 # one that leads ceases if it has not read its decision for as long. It is a
 # part of the setting ``rollout.rollback_s``.
-LEASE = 0.4
+LEASE_SHARE = 0.4
 # Time between two reads of the decision by the daemon that leads.
 READ_S = 1.0
 # Daemons that may decide first wait for a random part of this time, so that
@@ -57,7 +57,7 @@
     ) -> None:
         """Creates the state of an order that was seen just now."""
         self._rollout = settings.rollout
-        self._lease_s = LEASE * settings.rollout.rollback_s
+        self._lease_s = LEASE_SHARE * settings.rollout.rollback_s
         self._store = store
         self._peers = peers
         self._rollouts = rollouts
@@ -217,8 +217,14 @@
             await anyio.sleep(period_s if self._has_lease else 0.1)
 
     async def _take_over(self) -> None:
-        """Writes the known decision, or the first one, as this daemon's own."""
+        """Writes the known decision, or the first one, as this daemon's own.
+
+        Once the order has its final status, it tells the daemons the end, which
+        the daemon that led may not have done.
+        """
+        self._take_over_at = time.monotonic() + READ_S + self._spread_s()
         if self._order.is_finished:
+            await self._announce_end()
             return
         known = self.decision
         if known is not None:
@@ -257,10 +263,12 @@
 
     async def _lead(self) -> None:
         """Collects reports and takes the next decision, if one is due."""
-        decision = self.decision
+        decision, stored = self.decision, self._stored
         if decision is None:
             return
         await self._reports.collect(self._state(decision))
+        if not self._still_leads(stored):
+            return
         if decision.phase != _Phase.ACTIVE:
             await self._write_status(decision.phase)
             await self._confirm()
@@ -276,6 +284,8 @@
         if bad_route:
             # All daemons drop the share before the write, which may take long.
             await self._reports.collect(self._state(decision))
+            if not self._still_leads(stored):
+                return
             await self._end(decision, _Phase.ROLLED_BACK, f"bad on {bad_route}")
         elif rollout_steps.may_complete(progress, self._reports.is_old_idle):
             await self._end(decision, _Phase.COMPLETED, "completed")
@@ -287,6 +297,19 @@
         else:
             await self._confirm()
 
+    def _still_leads(self, stored: rolloutstores.Stored | None) -> bool:
+        """Tells whether a decision is still the known one, and this daemon's.
+
+        Another daemon may have decided while this one waited for reports.
+        """
+        return self._stored == stored and self._has_lease
+
+    async def _announce_end(self) -> None:
+        """Tells all daemons the end of the roll-out, if it has ended."""
+        decision = self.decision
+        if decision is not None and decision.phase != _Phase.ACTIVE:
+            await self._reports.collect(self._state(decision))
+
     async def _confirm(self) -> None:
         """Reads from time to time that this daemon still leads."""
         if self._order.is_finished:
@@ -303,6 +326,9 @@
     ) -> None:
         """Writes the end of the roll-out, first as a decision."""
         if await self._write(decision._replace(phase=phase), reason):
+            # The old instances stop at the status, so all daemons must know
+            # the end before it.
+            await self._announce_end()
             self._status_at = -math.inf
             await self._write_status(phase)
 
--- a/rattangauge/sidecar/rolloutreports.py
+++ b/rattangauge/sidecar/rolloutreports.py
@@ -4,7 +4,7 @@
 import loguru
 
 from rattangauge import errors
-from rattangauge.calls import held_times
+from rattangauge.calls import duration_histogram
 from rattangauge.calls import rollout_verdict
 from rattangauge.generated import messages
 from rattangauge.membership import peers as peers_module
@@ -96,7 +96,8 @@
         state: messages.RolloutState,
     ) -> None:
         for report in reports:
-            has_begun = report.sequence >= state.sequence
+            is_same_order = report.created == state.created
+            has_begun = is_same_order and report.sequence >= state.sequence
             is_new = report.version == state.target
             is_idle = has_begun and (is_new or not report.running)
             count = self._idle_reports.get(report.mesh, 0)
@@ -118,7 +119,7 @@
         for report in current:
             is_new = report.version == state.target
             for route in report.routes:
-                if len(route.held) != held_times.CLASSES:
+                if len(route.held) != duration_histogram.CLASSES:
                     # Another release of the daemon counts in other classes.
                     continue
                 key = report.mesh, report.incarnation, route.route
--- a/rattangauge/sidecar/rollouts.py
+++ b/rattangauge/sidecar/rollouts.py
@@ -61,11 +61,11 @@
         if not self._is_enabled or not serving:
             return serving
         versions = self._peers.serving_versions(service)
-        if len(versions) == 1 and self._routing.view(service) is None:
-            return serving
         chosen = self._routing.choose(
             service, versions, is_repeat, time.monotonic()
         )
+        if len(chosen) == len(versions):
+            return serving
         return [
             peer for peer in serving if peer.member.upstream_version in chosen
         ]
--- a/rattangauge/sidecar/rolloutwatch.py
+++ b/rattangauge/sidecar/rolloutwatch.py
@@ -107,10 +107,15 @@
                 failures += 1
                 await anyio.sleep(self._retry_delay_s(failures))
                 continue
+            removed = set(orders.removed)
+            if not revision:
+                # An order may have been deleted while nothing was watched.
+                listed = {order.service for order in orders.orders}
+                removed |= self._deciders.keys() - listed
             revision, failures = orders.revision, 0
             for order in orders.orders:
                 self._apply_order(order)
-            for service in orders.removed:
+            for service in removed:
                 self._remove(service)
 
     def _apply_order(self, order: rolloutstores.Order) -> None:
--- a/rattangauge/sidecar/slotwaiters.py
+++ b/rattangauge/sidecar/slotwaiters.py
@@ -23,7 +23,7 @@
         self._current_queue = current_queue
         # Futures by number of the call; the result is whether it got a slot.
         self._futures: dict[int, asyncio.Future[bool]] = {}
-        # Starts the next call that waits for the limit on the rate.
+        # Starts the next call that waits beside a free slot.
         self._start_timer: asyncio.TimerHandle | None = None
 
     async def wait(
@@ -69,9 +69,10 @@
             slot_future.set_result(has_slot)
 
     def _schedule_start(self) -> None:
-        """Sets the timer for the next call, if the limit on the rate holds it.
+        """Sets the timer for the next call that waits beside a free slot.
 
-        All other waiting calls start when a running one ends.
+        It waits for the limit on the rate or for reserved slots. All other
+        waiting calls start when a running one ends.
         """
         delay_s = self._current_queue().next_start_s(time.monotonic())
         if delay_s is None or self._start_timer is not None:
--- a/rattangauge/sidecar/spillover.py
+++ b/rattangauge/sidecar/spillover.py
@@ -1,5 +1,6 @@
 """Applies the decision which calls leave the availability zone."""
 
+import math
 import random as random_module
 import time
 
@@ -12,7 +13,7 @@
 
 # Time between two updates of the share of a service.
 UPDATE_PERIOD_S = 0.1
-# Time between two events of one service in the log.
+# Time between two events of one service in the log, while a share goes on.
 LOG_PERIOD_S = 1.0
 # Services with a share; a service beyond it clears all shares.
 MAX_SERVICES = 256
@@ -72,16 +73,16 @@
         own = zone_loads.own_zone_load(self._peers, service, now)
         others = [load for _zone, load in self._loads.of(service)]
         share.update(own, others, now)
-        if before or share.share:
+        if before != share.share:
             metrics.observe_spill(service, share.share)
-            self._record(service, share.share, own, now)
+            quiet_s = now - self._logged_at.get(service, -math.inf)
+            if quiet_s >= LOG_PERIOD_S or not before or not share.share:
+                self._record(service, share.share, own, now)
         return share.share
 
     def _record(
         self, service: str, share: float, own: zone_spill.ZoneLoad, now: float
     ) -> None:
-        if now - self._logged_at.get(service, -LOG_PERIOD_S) < LOG_PERIOD_S:
-            return
         if len(self._logged_at) >= MAX_SERVICES:
             self._logged_at.clear()
         self._logged_at[service] = now
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -73,7 +73,8 @@
         if is_small and self._spill.leaves(call_open.service):
             chosen = None
         if chosen is None:
-            remote = self._with_room(call_open.service, remote)
+            if any(not c.should_avoid for c in candidates):
+                remote = self._with_room(call_open.service, remote)
             candidates += [
                 self._candidate(peer, now, call_open.route)
                 for peer in placement.sample(remote, self._random)
--- a/tests/test_rollout_share.py
+++ b/tests/test_rollout_share.py
@@ -109,3 +109,22 @@
     assert not rollout_steps.may_advance(early, False, True)
     late = early._replace(elapsed_s=10.0)
     assert rollout_steps.may_advance(late, False, True)
+
+
+def test_a_version_without_an_order_gets_nothing_after_a_roll_back():
+    """Guards against a third version that nobody rolls out."""
+    routed = routing()
+    assert list(routed.choose("skladby", {"v1": 1}, False, 0.0)) == ["v1"]
+    routed.update(state(0.0, phase=PHASES.ROLLED_BACK), 1.0)
+    serving = {"v1": 1, "v2": 2, "v3": 5}
+    assert list(routed.choose("skladby", serving, False, 1.0)) == ["v1"]
+
+
+def test_the_completed_version_stays_the_one_without_an_order():
+    """Guards against calls to what is left of the old version."""
+    routed = routing(state(1.0, phase=PHASES.COMPLETED))
+    assert list(routed.choose("skladby", BOTH, False, 0.0)) == ["v2"]
+    later = state(0.0, sequence=9, created=8)._replace(target="v3")
+    routed.update(later, 1.0)
+    serving = {"v1": 9, "v2": 1, "v3": 5}
+    assert list(routed.choose("skladby", serving, False, 1.0)) == ["v2"]
--- a/tests/test_rollout_verdict.py
+++ b/tests/test_rollout_verdict.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rattangauge.calls import held_times
+from rattangauge.calls import duration_histogram
 from rattangauge.calls import rollout_verdict
 
 SEEDS = range(200)
@@ -14,14 +14,14 @@
 
 def answers(source, count, failed, median_s, slow=0.0, spread=0.6):
     """Returns answers with log-normal times, of which a share is slow."""
-    held = [0] * held_times.CLASSES
+    held = [0] * duration_histogram.CLASSES
     for _ in range(count):
         time_s = median_s * source.lognormvariate(0.0, spread)
         if source.random() < 0.03:
             time_s *= 7
         if source.random() < slow:
             time_s *= 8
-        held[held_times.class_of(time_s)] += 1
+        held[duration_histogram.class_of(time_s)] += 1
     failures = sum(source.random() < failed for _ in range(count))
     return rollout_verdict.Answers(count, failures, tuple(held))
 
--- a/tests/test_slot_reserve.py
+++ b/tests/test_slot_reserve.py
@@ -85,6 +85,15 @@
     )
 
 
+def test_reserved_slots_are_looked_at_again():
+    """Guards against a long call that waits beside free slots."""
+    queue, now = _busy_queue()
+    _started(queue, [_long(n) for n in range(10, 20)], now)
+    assert queue.next_start_s(now) == slot_reserve.CHECK_PERIOD_S
+    now += IDLE_S
+    assert queue.next_start_s(now) == 0.0
+
+
 def test_a_short_call_passes_waiting_long_ones():
     """Guards against reserved slots that stay empty behind long calls."""
     queue, now = _busy_queue()
