Forget kinds of calls that have ceased

Cause: each look for urgent calls went over all routes that ever had one, up to 256, and checks of idle routes add one each. Change: a kind without a call for 5 s is forgotten. Result: a test with 1,000 routes.

--- a/rattangauge/calls/slot_reserve.py
+++ b/rattangauge/calls/slot_reserve.py
@@ -22,7 +22,9 @@
 CHECK_PERIOD_S = 0.05
 # Time constant of the rate of arrivals, in seconds.
 RATE_MEMORY_S = 1.0
-# Kinds of calls that are remembered; older ones are forgotten first.
+# A kind of calls is forgotten after this time without one, in seconds, and the
+# oldest one if there are too many.
+FORGET_S = 5.0
 MAX_KINDS = 256
 
 
@@ -63,8 +65,11 @@
         before = self._arrivals.pop(kind, None)
         count = before.rate_per_s(now) * RATE_MEMORY_S if before else 0.0
         self._arrivals[kind] = _Arrivals(now, count + 1.0, urgency)
-        if len(self._arrivals) > MAX_KINDS:
-            del self._arrivals[next(iter(self._arrivals))]
+        # The kinds stand in the order of their last arrivals.
+        oldest = next(iter(self._arrivals))
+        is_old = now - self._arrivals[oldest].at > FORGET_S
+        if is_old or len(self._arrivals) > MAX_KINDS:
+            del self._arrivals[oldest]
 
     def urgent_holds_s(
         self,
--- a/tests/test_slot_reserve.py
+++ b/tests/test_slot_reserve.py
@@ -106,6 +106,14 @@
     assert len(queue.offer(ordinary, now).started) == 1
 
 
+def test_kinds_of_calls_that_have_ceased_are_forgotten():
+    """Guards against a look at hundreds of routes for each call."""
+    recent = slot_reserve.RecentArrivals()
+    for number in range(1000):
+        recent.add(f"route-{number}", (False, 5), number * 0.5)
+    assert len(recent._arrivals) < 20
+
+
 class _QueueWithoutReserve(call_queue.Queue):
     def _has_slot(self, _waiter, _now):
         return self.running < self._slots
