--- a/rattangauge/sidecar/spillover.py
+++ b/rattangauge/sidecar/spillover.py
@@ -49,16 +49,6 @@
         share = self._share(service)
         return share > 0.0 and self._random.random() < share
 
-    def full_zones(self, service: str) -> set[str]:
-        """Returns the zones that lack room themselves, as they said lately."""
-        now = time.monotonic()
-        return {
-            zone
-            for zone, load in self._loads.of(service)
-            if now - load.reported_at <= zone_spill.MAX_REPORT_AGE_S
-            and zone_spill.lack(load) > 0.0
-        }
-
     def _share(self, service: str) -> float:
         """Returns the share of a service, which it updates when due."""
         now = time.monotonic()
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -73,8 +73,6 @@
         if is_small and self._spill.leaves(call_open.service):
             chosen = None
         if chosen is None:
-            if any(not c.should_avoid for c in candidates):
-                remote = self._with_room(call_open.service, remote)
             candidates += [
                 self._candidate(peer, now, call_open.route)
                 for peer in placement.sample(remote, self._random)
@@ -128,15 +126,6 @@
         """Tells whether a peer is this daemon, whose answers need no link."""
         return peer is self._peers.own
 
-    def _with_room(
-        self, service: str, remote: list[peers_module.Peer]
-    ) -> list[peers_module.Peer]:
-        """Returns the instances of other zones that have room for a call."""
-        full = self._spill.full_zones(service)
-        if not full:
-            return remote
-        return [peer for peer in remote if peer.member.zone not in full]
-
     def _untried_peers(
         self, service: str, tried: set[str]
     ) -> tuple[list[peers_module.Peer], list[peers_module.Peer]]:
