--- a/tests/test_loop_failures.py
+++ b/tests/test_loop_failures.py
@@ -11,6 +11,7 @@
 from rattangauge_platform import announcements
 from rattangauge_platform import headers
 from rattangauge_platform import program
+from rattangauge_platform import rollouts
 from rattangauge_platform import store as store_module
 
 from rattangauge import decisionlog
@@ -228,10 +229,12 @@
         async def run():
             client = program._store_client(instance.settings)
             async with client:
+                store = store_module.ObjectStore(client)
                 await node_module.run(
                     instance.settings,
                     headers.HEADER_NAMES,
-                    store_module.ObjectStore(client),
+                    store,
+                    rollouts.RolloutObjects(store),
                     announcements.parse,
                     instance.log,
                     reload,
@@ -296,10 +299,12 @@
         async def run():
             client = program._store_client(instance.settings)
             async with client:
+                store = store_module.ObjectStore(client)
                 await node_module.run(
                     instance.settings,
                     headers.HEADER_NAMES,
-                    store_module.ObjectStore(client),
+                    store,
+                    rollouts.RolloutObjects(store),
                     announcements.parse,
                     instance.log,
                     lambda: None,
