--- a/rattangauge/sidecar/configsync.py
+++ b/rattangauge/sidecar/configsync.py
@@ -36,11 +36,6 @@
 # Pause after a change, so that several changes in a row are read by one watch:
 # each watch that ends costs the store a call.
 HOLD_OFF_S = 0.3
-# On a slow link a whole configuration takes longer. The pause after a read is
-# this multiple of the time that the read took, up to the second value, so that
-# other messages have their part of the link.
-HOLD_OFF_FACTOR = 2.0
-MAX_HOLD_OFF_S = 0.7
 # Time from a failed call of the store to the next one. It doubles with each
 # failure in a row, up to the second value. A call that took longer before it
 # failed is repeated at once.
@@ -65,18 +60,6 @@
 Apply = Callable[[edition_module.Edition], None]
 
 
-def hold_off_s(read_s: float) -> float:
-    """Returns the pause after a change of the configuration, in seconds.
-
-    Args:
-        read_s: Time that a read of the whole configuration takes, in seconds.
-
-    >>> hold_off_s(0.01), hold_off_s(0.25), hold_off_s(3.0)
-    (0.3, 0.5, 0.7)
-    """
-    return min(MAX_HOLD_OFF_S, max(HOLD_OFF_S, HOLD_OFF_FACTOR * read_s))
-
-
 class ConfigSync:
     """Applies the newest configuration and sends it to peers that ask."""
 
@@ -123,8 +106,6 @@
         self._unreadable_version = 0
         self._outdated_since = 0.0
         self._store_answered_at = -math.inf
-        # Time that the last read of the whole configuration took.
-        self._read_s = 0.0
         self._history = editionhistory.EditionHistory()
 
     @property
@@ -207,9 +188,7 @@
             is_newer = result.version > self.version
             self._adopt_from_store(result, form, requested_at)
             self._choose_next_call(result, is_newer)
-            if form is configpull.Form.READ:
-                self._read_s = self._store_answered_at - requested_at
-            await anyio.sleep(hold_off_s(self._read_s))
+            await anyio.sleep(HOLD_OFF_S)
         elif not self._revision:
             await anyio.sleep(self._retry_delay_s(1))
 
