Compare local instances only for calls that stay

Cause: read through the change once more: a call that leaves its zone compared the local instances and dropped the result, and the lowest status that counts as a failure stood in two modules. Change: the comparison is made for calls that stay; the status is in calls/exchange.py; the module of quotas says the word. Result: 118 tests of dispatch, outcomes, zones, placement, quotas, roll-outs and mutations pass.

--- a/rattangauge/calls/exchange.py
+++ b/rattangauge/calls/exchange.py
@@ -13,6 +13,9 @@
 # It is sent to the upstream, which passes it on with its own calls.
 CONTEXT_HEADER = b"rattangauge-context"
 
+# Lowest HTTP status that counts as a failure of the upstream.
+MIN_SERVER_ERROR_STATUS = 500
+
 # Header of a response with the retry allowance that is left. An upstream may
 # pass it on with its own response.
 ALLOWANCE_HEADER = b"rattangauge-allowance"
--- a/rattangauge/calls/quota.py
+++ b/rattangauge/calls/quota.py
@@ -1,4 +1,6 @@
-"""Decides which requests of a tenant lie within its rate over all daemons.
+"""Decides which requests of a tenant lie within its quota over all daemons.
+
+The quota is a rate and a burst.
 
 It is made for tenants whose requests come to many daemons at once, in any
 proportion, and of which a few send several times their rate for some seconds.
--- a/rattangauge/sidecar/dispatch.py
+++ b/rattangauge/sidecar/dispatch.py
@@ -43,8 +43,6 @@
 # No retry is made if less time than this is left to the deadline: it would not
 # end in time.
 MIN_RETRY_S = 0.02
-# Lowest HTTP status that counts as a failure of the upstream.
-MIN_SERVER_ERROR_STATUS = 500
 
 
 class Dispatcher:
@@ -317,7 +315,7 @@
                 progress.record_failure(failure)
             else:
                 progress.record_answer(answer)
-                if answer.status < MIN_SERVER_ERROR_STATUS:
+                if answer.status < exchange.MIN_SERVER_ERROR_STATUS:
                     break
             if not self._may_try_another(call, progress):
                 break
@@ -388,7 +386,9 @@
             peer.own_calls -= 1
         peer.record_success()
         now = time.monotonic()
-        peer.record_answer(answer.status >= MIN_SERVER_ERROR_STATUS, now)
+        peer.record_answer(
+            answer.status >= exchange.MIN_SERVER_ERROR_STATUS, now
+        )
         peer.update_load(answer.load, now, call.request.open.route)
         self._upstreams.record_answer_size(
             call.request.open.route, len(answer.body)
--- a/rattangauge/sidecar/rolloutanswers.py
+++ b/rattangauge/sidecar/rolloutanswers.py
@@ -12,7 +12,6 @@
 # Routes that are counted by name; all further ones are counted together.
 MAX_ROUTES = 64
 OTHER_ROUTES = "other"
-MIN_SERVER_ERROR_STATUS = 500
 # Status of an upstream whose time limit has passed. The time that it took
 # tells more than this status: the caller may have left too little time.
 GATEWAY_TIMEOUT_STATUS = 504
@@ -81,7 +80,7 @@
                 self._record(route, is_failure, is_cold, held_s)
             raise
         is_failure = (
-            answer.status >= MIN_SERVER_ERROR_STATUS
+            answer.status >= exchange.MIN_SERVER_ERROR_STATUS
             and answer.status != GATEWAY_TIMEOUT_STATUS
         )
         self._record(route, is_failure, is_cold, time.monotonic() - began)
--- a/rattangauge/sidecar/upstreamchoice.py
+++ b/rattangauge/sidecar/upstreamchoice.py
@@ -68,10 +68,10 @@
         candidates = [
             self._candidate(peer, now, call_open.route) for peer in local
         ]
-        chosen = placement.choose_local(candidates, demand, self._random)
+        chosen = None
         is_small = answer_bytes < linkpacer.LARGE_ANSWER_BYTES
-        if is_small and self._spill.leaves(call_open.service):
-            chosen = None
+        if not (is_small and self._spill.leaves(call_open.service)):
+            chosen = placement.choose_local(candidates, demand, self._random)
         if chosen is None:
             candidates += [
                 self._candidate(peer, now, call_open.route)
